--- a/src/bin/cloverpaddle-wirehost/boot.rs
+++ b/src/bin/anisehead-benchlink/boot.rs
@@ -1,7 +1,7 @@
 //! The settings of an instance, from the `path=value` pairs of its first message.
 
 use crate::wire::{Fields, Names, Problem, millis, parse_number};
-use cloverpaddle::*;
+use anisehead::*;
 use std::collections::BTreeMap;
 
 struct Pairs<'a> {
--- a/src/bin/cloverpaddle-wirehost/main.rs
+++ b/src/bin/anisehead-benchlink/main.rs
@@ -1,4 +1,4 @@
-//! Hosts one [`cloverpaddle::Placer`] per instance on the simulator's wire.
+//! Hosts one [`anisehead::Placer`] per instance on the simulator's wire.
 //!
 //! Reads batches on standard input, answers each on standard output, ends at end of input.
 //! A malformed line ends it with one line on standard error that names the line and the field.
@@ -7,7 +7,7 @@
 mod boot;
 mod wire;
 
-use cloverpaddle::{Action, Micros, Placer};
+use anisehead::{Action, Micros, Placer};
 use std::collections::BTreeMap;
 use std::io::{self, BufRead, Write};
 use std::process::ExitCode;
@@ -137,7 +137,7 @@
     match run(io::stdin().lock(), io::BufWriter::new(io::stdout().lock())) {
         Ok(()) => ExitCode::SUCCESS,
         Err(problem) => {
-            eprintln!("cloverpaddle-wirehost: {problem}");
+            eprintln!("anisehead-benchlink: {problem}");
             ExitCode::FAILURE
         }
     }
--- a/src/bin/cloverpaddle-wirehost/wire.rs
+++ b/src/bin/anisehead-benchlink/wire.rs
@@ -1,6 +1,6 @@
 //! Lines of the wire to events, actions to lines.
 
-use cloverpaddle::*;
+use anisehead::*;
 use std::collections::BTreeMap;
 use std::fmt::{self, Write};
 use std::sync::Arc;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,7 +5,7 @@
 //! settings, seed and events give the same actions.
 //!
 //! ```
-//! use cloverpaddle::*;
+//! use anisehead::*;
 //! use std::sync::Arc;
 //!
 //! let settings = Settings::example();
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,7 +1,7 @@
 //! Helpers of the module tests: events in short form and a small owner's view of the answers.
 #![allow(dead_code)]
 
-use cloverpaddle::*;
+use anisehead::*;
 use std::sync::Arc;
 
 pub const MS: Micros = 1_000;
--- a/tests/random_events.rs
+++ b/tests/random_events.rs
@@ -3,7 +3,7 @@
 
 mod common;
 
-use cloverpaddle::*;
+use anisehead::*;
 use common::*;
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::{RngCore, SeedableRng};
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use cloverpaddle::*;
+use anisehead::*;
 use common::*;
 
 fn settings() -> Settings {
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use cloverpaddle::*;
+use anisehead::*;
 use common::*;
 use std::collections::{BTreeMap, BTreeSet};
 
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -25,7 +25,7 @@
 const TASK: &str = "TASK\tc:one\t-\tquick\t1\t2b8e6401d9f37c10\t91f03b7c55d20a64\t1.5\t0\t6000.0\t0\tours";
 
 fn run(input: &str) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_cloverpaddle-wirehost"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_anisehead-benchlink"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
