--- a/src/bin/anisehead-benchlink/main.rs
+++ b/src/bin/anisehead-benchlink/main.rs
@@ -4,14 +4,14 @@
 //! A malformed line ends it with one line on standard error that names the line and the field.
 #![forbid(unsafe_code)]
 
-mod boot;
 mod wire;
 
+use anisehead::settings::{self, Names, Pairs};
 use anisehead::{Action, Micros, Placer};
 use std::collections::BTreeMap;
 use std::io::{self, BufRead, Write};
 use std::process::ExitCode;
-use wire::{Fields, Names, Problem};
+use wire::{Fields, Problem};
 
 /// One instance: its module and the names its settings stated.
 struct Instance {
@@ -32,7 +32,7 @@
         let at = at.ok_or_else(|| f.problem("placer", "no INSTANCE line before this event"))?;
         if f.name == "NEW_INSTANCE" {
             let seed = f.unsigned(0, "salt")?;
-            let (settings, names) = boot::settings(f, 1)?;
+            let (settings, names) = settings::read(&pairs(f)?).map_err(|e| f.problem(&e.field, &e.what))?;
             self.instances.insert(at, Instance { placer: Placer::new(settings, seed), names });
             return Ok(());
         }
@@ -54,6 +54,15 @@
     }
 }
 
+/// The `path=value` pairs that follow the seed.
+fn pairs(f: &Fields) -> Result<Pairs, Problem> {
+    let split = |pair: &&str| match pair.split_once('=') {
+        Some((key, value)) => Ok((key.to_string(), value.to_string())),
+        None => Err(f.problem("boot_info", &format!("not a pair: {pair}"))),
+    };
+    f.values.iter().skip(1).map(split).collect()
+}
+
 /// The reply under way: the actions' lines and whose they are.
 #[derive(Default)]
 struct Reply {
--- a/src/bin/anisehead-benchlink/wire.rs
+++ b/src/bin/anisehead-benchlink/wire.rs
@@ -1,5 +1,6 @@
 //! Lines of the wire to events, actions to lines.
 
+use anisehead::settings::{Names, millis, parse_number};
 use anisehead::*;
 use std::collections::BTreeMap;
 use std::fmt::{self, Write};
@@ -24,14 +25,6 @@
     }
 }
 
-/// The names that an instance's settings stated, for turning names into indices.
-pub struct Names {
-    pub classes: Vec<String>,
-    pub tenants: Vec<String>,
-    pub kinds: Vec<String>,
-    pub zones: Vec<String>,
-}
-
 /// One line, split: the message name and its values.
 pub struct Fields<'a> {
     pub line: u64,
@@ -178,15 +171,6 @@
     }
 }
 
-pub fn parse_number(text: &str) -> Option<f64> {
-    text.parse::<f64>().ok().filter(|v| v.is_finite())
-}
-
-/// Milliseconds of the wire to microseconds.
-pub fn millis(value: f64) -> Micros {
-    (value * 1000.0).round() as Micros
-}
-
 fn entry(line: u64, text: &str, names: &Names) -> Result<Entry, Problem> {
     let f = Fields::new(line, text);
     f.exactly(9)?;
--- /dev/null
+++ b/src/facade.rs
@@ -0,0 +1,308 @@
+//! Plain blocking calls round the decision module: [`Facade::pick`], [`Facade::report`] and
+//! [`Facade::tick`].
+//!
+//! Only this file sees the module's events and actions. What stands before it, whatever protocol it
+//! speaks, hands in asks and news and gets [`Verdict`]s. The facade also keeps the module's timers,
+//! and answers its requests for the host list from the state of the feed.
+
+use crate::interface::*;
+use crate::policy::Placer;
+use crate::settings::Names;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+/// One ask in the caller's hands, numbered by the caller. A number is never used again, so that a
+/// wire id that comes back can't be taken for the ask that carried it before.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Ticket(pub u64);
+
+impl Ticket {
+    fn id(self) -> ReqId {
+        ReqId(Arc::from(format!("{:016x}", self.0)))
+    }
+
+    fn of(id: &ReqId) -> Option<Ticket> {
+        u64::from_str_radix(&id.0, 16).ok().map(Ticket)
+    }
+}
+
+/// A task to place, with the names that its owner gave.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Ask {
+    /// The class, as the settings name it.
+    pub class: String,
+    /// The tenant, as the settings name it.
+    pub tenant: Option<String>,
+    /// The service it belongs to.
+    pub service: u64,
+    /// The task, the same whenever it comes again.
+    pub key: u64,
+    /// Cores asked for.
+    pub cores: f64,
+    /// Memory asked for.
+    pub memory: f64,
+    /// Time until the owner gives up.
+    pub budget: Micros,
+    /// Marked by its owner as a repeat.
+    pub resent: bool,
+}
+
+/// The settings name no such class.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct UnknownClass;
+
+/// What the caller has learned.
+#[derive(Debug, Clone)]
+pub enum News {
+    /// The attempt placed the task.
+    Placed {
+        /// The ask.
+        ticket: Ticket,
+        /// The attempt, counted from 0.
+        attempt: u32,
+        /// Its host.
+        host: HostId,
+        /// Time since the offer.
+        elapsed: Micros,
+    },
+    /// An attempt, or the task that it placed, has ended.
+    Ended {
+        /// The ask.
+        ticket: Ticket,
+        /// The attempt, counted from 0.
+        attempt: u32,
+        /// Its host.
+        host: HostId,
+        /// How.
+        outcome: Outcome,
+        /// Why.
+        detail: Detail,
+        /// Time since the offer.
+        elapsed: Micros,
+    },
+    /// A host tells something of a task that stands.
+    Noted {
+        /// The ask.
+        ticket: Ticket,
+        /// Its host.
+        host: HostId,
+        /// What is told.
+        note: Note,
+        /// The figure.
+        value: f64,
+    },
+    /// The owner gave up; no answer is owed.
+    GivenUp(Ticket),
+    /// The whole list of hosts, as configured at start.
+    Known(Vec<Entry>),
+    /// News of the host list from the feed.
+    Listed {
+        /// Whether this is the whole list.
+        whole: bool,
+        /// Its entries.
+        entries: Vec<Entry>,
+    },
+    /// The feed delivers.
+    FeedUp,
+    /// The feed is dead until further notice.
+    FeedDown,
+    /// The process is to end: all that is owed must be answered within this time.
+    Closing(Micros),
+}
+
+/// What the module has decided.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Verdict {
+    /// Offer the task to a host and wait so long.
+    Offer {
+        /// The ask.
+        ticket: Ticket,
+        /// The host.
+        host: HostId,
+        /// How long to wait.
+        timeout: Micros,
+    },
+    /// Final: refused. Trying again is harmless.
+    Refuse {
+        /// The ask.
+        ticket: Ticket,
+        /// How long the owner should stay away; 0: no word.
+        retry_after: Micros,
+    },
+    /// Final: failed.
+    Fail {
+        /// The ask.
+        ticket: Ticket,
+    },
+    /// Stop a task that stands; its owner asks again.
+    Move {
+        /// The ask.
+        ticket: Ticket,
+    },
+    /// Stop waiting for one attempt.
+    GiveUp {
+        /// The ask.
+        ticket: Ticket,
+        /// The attempt.
+        attempt: u32,
+    },
+    /// A line for the log.
+    Note(String),
+}
+
+/// The decision module behind blocking calls.
+pub struct Facade {
+    placer: Placer,
+    names: Names,
+    timers: BTreeSet<(Micros, TimerToken)>,
+    feed_up: bool,
+    /// The module has asked for the list and has no answer yet.
+    watch_owed: bool,
+}
+
+impl Facade {
+    /// A module with these settings, and the names that they state.
+    pub fn new(settings: Settings, names: Names, seed: u64) -> Facade {
+        Facade {
+            placer: Placer::new(settings, seed),
+            names,
+            timers: BTreeSet::new(),
+            feed_up: false,
+            watch_owed: false,
+        }
+    }
+
+    /// The names of the settings.
+    pub fn names(&self) -> &Names {
+        &self.names
+    }
+
+    /// Takes a task to place.
+    pub fn pick(&mut self, now: Micros, ticket: Ticket, ask: &Ask) -> Result<Vec<Verdict>, UnknownClass> {
+        let event = Event::Request(self.task(ticket, ask)?);
+        Ok(self.give(now, event))
+    }
+
+    /// Takes a task that already stands at a host; no answer is owed for it.
+    pub fn adopt(
+        &mut self,
+        now: Micros,
+        ticket: Ticket,
+        ask: &Ask,
+        host: &HostId,
+    ) -> Result<Vec<Verdict>, UnknownClass> {
+        let event = Event::Open(self.task(ticket, ask)?, host.clone());
+        Ok(self.give(now, event))
+    }
+
+    /// Takes news.
+    pub fn report(&mut self, now: Micros, news: News) -> Vec<Verdict> {
+        let event = match news {
+            News::Placed { ticket, attempt, host, elapsed } => {
+                Event::First { id: ticket.id(), attempt, host, elapsed }
+            }
+            News::Ended { ticket, attempt, host, outcome, detail, elapsed } => Event::Outcome {
+                id: ticket.id(),
+                attempt,
+                host,
+                outcome,
+                detail,
+                done: outcome == Outcome::Ok,
+                elapsed,
+                report: Vec::new(),
+            },
+            News::Noted { ticket, host, note, value } => Event::Noted { id: ticket.id(), host, note, value },
+            News::GivenUp(ticket) => Event::Gone(ticket.id()),
+            News::Known(entries) => Event::Members { kind: ListKind::Cached, entries },
+            News::Listed { whole, entries } => {
+                Event::Members { kind: if whole { ListKind::Full } else { ListKind::Delta }, entries }
+            }
+            News::FeedUp => {
+                self.feed_up = true;
+                if !std::mem::take(&mut self.watch_owed) {
+                    return Vec::new();
+                }
+                Event::Members { kind: ListKind::Delta, entries: Vec::new() }
+            }
+            News::FeedDown => {
+                self.feed_up = false;
+                self.watch_owed = false;
+                Event::Members { kind: ListKind::Failed, entries: Vec::new() }
+            }
+            News::Closing(within) => Event::Closing(within),
+        };
+        self.give(now, event)
+    }
+
+    /// Lets the module's timers that are due by now go off.
+    pub fn tick(&mut self, now: Micros) -> Vec<Verdict> {
+        let mut verdicts = Vec::new();
+        while let Some(&(due, token)) = self.timers.first() {
+            if due > now {
+                break;
+            }
+            self.timers.pop_first();
+            verdicts.extend(self.give(now, Event::Timer(token)));
+        }
+        verdicts
+    }
+
+    fn task(&self, ticket: Ticket, ask: &Ask) -> Result<Task, UnknownClass> {
+        let place = |names: &[String], name: &str| names.iter().position(|n| n == name);
+        Ok(Task {
+            id: ticket.id(),
+            class: place(&self.names.classes, &ask.class).map(ClassId).ok_or(UnknownClass)?,
+            service: ServiceId(ask.service),
+            key: TaskKey(ask.key),
+            tenant: ask.tenant.as_deref().and_then(|t| place(&self.names.tenants, t)).map(TenantId),
+            cores: ask.cores,
+            memory: ask.memory,
+            hint: None,
+            budget: ask.budget,
+            resent: ask.resent,
+            came_back: ask.resent,
+        })
+    }
+
+    /// Hands one event to the module. A call for the list is answered by the feed's state: at once
+    /// while it delivers, else when it does again.
+    fn give(&mut self, now: Micros, event: Event) -> Vec<Verdict> {
+        let mut actions = Vec::new();
+        self.placer.handle(now, &event, &mut actions);
+        let mut verdicts = Vec::new();
+        let mut asked = false;
+        for action in actions {
+            verdicts.extend(match action {
+                Action::Watch | Action::Fetch => {
+                    asked = true;
+                    None
+                }
+                Action::SetTimer { token, after } => {
+                    self.timers.insert((now.saturating_add(after), token));
+                    None
+                }
+                Action::Send { id, host, timeout } => {
+                    Ticket::of(&id).map(|ticket| Verdict::Offer { ticket, host, timeout })
+                }
+                Action::Refuse { id, retry_after } => {
+                    Ticket::of(&id).map(|ticket| Verdict::Refuse { ticket, retry_after })
+                }
+                Action::Fail { id } => Ticket::of(&id).map(|ticket| Verdict::Fail { ticket }),
+                Action::Move { id } => Ticket::of(&id).map(|ticket| Verdict::Move { ticket }),
+                Action::Cancel { id, attempt } => {
+                    Ticket::of(&id).map(|ticket| Verdict::GiveUp { ticket, attempt })
+                }
+                Action::Fault(text) | Action::Log(text) => Some(Verdict::Note(text)),
+                // Nothing may be probed here, the feed needs no farewell, and connections to hosts
+                // stay open for the releases of what stands there.
+                Action::Probe { .. } | Action::Unwatch | Action::Close { .. } => None,
+            });
+        }
+        if asked && self.feed_up {
+            verdicts.extend(self.give(now, Event::Members { kind: ListKind::Delta, entries: Vec::new() }));
+        } else if asked {
+            self.watch_owed = true;
+        }
+        verdicts
+    }
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -430,6 +430,8 @@
     },
     /// The ask is over; nothing more is owed.
     Gone(ReqId),
+    /// The placer is to end: all that is owed must be answered within this time.
+    Closing(Micros),
     /// A timer came due.
     Timer(TimerToken),
     /// A probe came back.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -29,9 +29,11 @@
 //! ```
 #![forbid(unsafe_code)]
 
+pub mod facade;
 mod interface;
 mod ledger;
 mod policy;
+pub mod settings;
 
 pub use interface::*;
 pub use policy::{Placer, scd_probabilities};
--- /dev/null
+++ b/src/net/codec/feed.rs
@@ -0,0 +1,81 @@
+//! The lines of the control feed, and the same events in the configuration.
+
+use super::Malformed;
+use super::lines::number;
+use anisehead::settings::{Names, millis};
+use anisehead::{CellId, Entry, HostId, HostState, KindId, ZoneId};
+use simd_json::BorrowedValue;
+use simd_json::prelude::*;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// No line of the feed holds more: the whole list may be one line.
+pub const MOST_BYTES: usize = 1024 * 1024;
+
+/// One host of the list, and the address where it listens.
+#[derive(Debug, Clone)]
+pub struct Listed {
+    /// What the module is told.
+    pub entry: Entry,
+    /// Where it listens; a host that is gone may have none.
+    pub dial: Option<SocketAddr>,
+}
+
+/// One line of the feed: its number and, unless it only shows that the feed lives, the changes.
+#[derive(Debug, Clone)]
+pub struct FeedLine {
+    /// The number of the latest event.
+    pub number: u64,
+    /// Whether the list is whole, and its hosts.
+    pub members: Option<(bool, Vec<Listed>)>,
+}
+
+/// Reads one line.
+pub fn read(line: &mut [u8], names: &Names) -> Result<FeedLine, Malformed> {
+    let value = simd_json::to_borrowed_value(line).map_err(|_| Malformed::Json)?;
+    event(&value, names)
+}
+
+/// Reads one event.
+pub fn event(value: &BorrowedValue<'_>, names: &Names) -> Result<FeedLine, Malformed> {
+    let number = value.get_u64("n").ok_or(Malformed::Field("n"))?;
+    let Some(members) = value.get("members") else { return Ok(FeedLine { number, members: None }) };
+    let whole = members.get_bool("whole").ok_or(Malformed::Field("whole"))?;
+    let hosts = members.get_array("hosts").ok_or(Malformed::Field("hosts"))?;
+    let hosts = hosts.iter().map(|host| listed(host, names)).collect::<Result<_, _>>()?;
+    Ok(FeedLine { number, members: Some((whole, hosts)) })
+}
+
+fn listed(value: &BorrowedValue<'_>, names: &Names) -> Result<Listed, Malformed> {
+    let host = value.get_str("host").ok_or(Malformed::Field("host"))?;
+    let state = match value.get_str("health") {
+        Some("up") => HostState::Up,
+        Some("draining") => HostState::Draining,
+        Some("removed") => HostState::Gone,
+        _ => return Err(Malformed::Field("health")),
+    };
+    let gone = state == HostState::Gone;
+    // Of a host that is gone only its name counts.
+    let place = |field, names: &[String]| {
+        let found = value.get_str(field).and_then(|name| names.iter().position(|n| n == name));
+        found.or(gone.then_some(0)).ok_or(Malformed::Field(field))
+    };
+    let dial = value.get_str("dial").and_then(|text| text.parse().ok());
+    if dial.is_none() && !gone {
+        return Err(Malformed::Field("dial"));
+    }
+    let free = |i: usize| value.get_array("unasked").and_then(|v| v.get(i)).and_then(number).unwrap_or(0.0);
+    Ok(Listed {
+        entry: Entry {
+            host: HostId(Arc::from(host)),
+            zone: ZoneId(place("site", &names.zones)?),
+            cell: CellId(value.get_u64("block").unwrap_or(0)),
+            kind: KindId(place("class", &names.kinds)?),
+            state,
+            ready_at: value.get("born_ms").and_then(number).map_or(0, millis),
+            free_cores: free(0),
+            free_memory: free(1),
+        },
+        dial,
+    })
+}
--- /dev/null
+++ b/src/net/config.rs
@@ -0,0 +1,79 @@
+//! The placer's configuration: one JSON file, named by `LB_CONFIG`.
+
+use super::codec::feed::{self, FeedLine};
+use anisehead::Settings;
+use anisehead::settings::{self, Names};
+use simd_json::prelude::*;
+use std::fmt;
+use std::net::SocketAddr;
+
+/// What a placer is told at its start.
+pub struct Config {
+    /// Its name, for the log.
+    pub name: String,
+    /// Where owners connect.
+    pub listen: SocketAddr,
+    /// The control feed.
+    pub feed: SocketAddr,
+    /// Seed of the random numbers.
+    pub seed: u64,
+    /// Settings of the decisions.
+    pub settings: Settings,
+    /// The names that they state.
+    pub names: Names,
+    /// The number of the feed's last event at the start.
+    pub known_to: u64,
+    /// The feed's events until then.
+    pub known: Vec<FeedLine>,
+}
+
+/// A field of the configuration that is missing or can't be read.
+#[derive(Debug)]
+pub struct ConfigError {
+    field: String,
+    what: String,
+}
+
+impl fmt::Display for ConfigError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "configuration: {}: {}", self.field, self.what)
+    }
+}
+
+fn error(field: &str, what: impl fmt::Display) -> ConfigError {
+    ConfigError { field: field.to_string(), what: what.to_string() }
+}
+
+/// Reads the file that `LB_CONFIG` names.
+pub fn load() -> Result<Config, ConfigError> {
+    let path = std::env::var("LB_CONFIG").map_err(|e| error("LB_CONFIG", e))?;
+    let mut text = std::fs::read(&path).map_err(|e| error("LB_CONFIG", format_args!("{path}: {e}")))?;
+    parse(&mut text)
+}
+
+fn parse(text: &mut [u8]) -> Result<Config, ConfigError> {
+    let value = simd_json::to_borrowed_value(text).map_err(|e| error("LB_CONFIG", e))?;
+    if !value.is_object() {
+        return Err(error("LB_CONFIG", "not an object"));
+    }
+    let text = |field: &str| value.get_str(field).ok_or_else(|| error(field, "missing"));
+    let address = |field: &str| text(field)?.parse().map_err(|e| error(field, e));
+    let stated = value.get("settings").ok_or_else(|| error("settings", "missing"))?;
+    let (settings, names) = settings::read(&settings::flatten(stated))
+        .map_err(|e| error(&format!("settings.{}", e.field), e.what))?;
+    let known = value.get("known").ok_or_else(|| error("known", "missing"))?;
+    let known_to = known.get_u64("n").ok_or_else(|| error("known.n", "missing"))?;
+    let events = known.get_array("events").ok_or_else(|| error("known.events", "missing"))?;
+    let event = |e| feed::event(e, &names).map_err(|e| error("known.events", e));
+    let known = events.iter().map(event).collect::<Result<_, _>>()?;
+    Ok(Config {
+        name: text("name")?.to_string(),
+        listen: address("listen")?,
+        feed: address("feed")?,
+        seed: u64::from_str_radix(text("seed")?, 16).map_err(|e| error("seed", e))?,
+        settings,
+        names,
+        known_to,
+        known,
+    })
+}
--- /dev/null
+++ b/src/net/dispatch.rs
@@ -0,0 +1,748 @@
+//! One state per request: who is owed what.
+//!
+//! Everything that happens on a socket or the wheel ends here, is told to the facade, and comes back
+//! as verdicts. This is the only place that sends a final answer.
+
+use super::clock::Clock;
+use super::codec::binary::{self, OwnerWord};
+use super::codec::feed::{FeedLine, Listed};
+use super::codec::lines::{self, HostWord};
+use super::codec::{SetUp, TaskId, cause};
+use super::config::Config;
+use super::conn::{Conn, End};
+use super::hosts::{self, Link, Phase, Round, Unmade};
+use super::log;
+use super::owners::{OwnerId, Owners, STUCK};
+use super::wheel::Wheel;
+use anisehead::facade::{Facade, News, Ticket, Verdict};
+use anisehead::settings::Names;
+use anisehead::{Detail, HostId, HostState, Micros, Outcome};
+use async_executor::LocalExecutor;
+use std::cell::RefCell;
+use std::collections::{BTreeMap, VecDeque};
+use std::fmt::Arguments;
+use std::rc::{Rc, Weak};
+
+const MILLI: Micros = 1_000;
+/// An owner's time runs from when it sent: what the way here, a tick and the way back may take.
+const OWNER_SLACK: Micros = 15 * MILLI;
+/// How often connections are looked through.
+const SWEEP: Micros = 1_000 * MILLI;
+/// After SIGTERM: how long new work may still arrive, by when all is answered, and the end at last.
+const CLOSE_OPEN: Micros = 1_000 * MILLI;
+const CLOSE_ANSWER: Micros = 3_300 * MILLI;
+const CLOSE_END: Micros = 3_500 * MILLI;
+/// How long a host may be out of reach until what stood there counts as lost.
+const UNREACHED: Micros = 2_500 * MILLI;
+/// How long a host may take to confirm a release.
+const LEAVING: Micros = 3_000 * MILLI;
+/// How long a release of a task not yet known is kept.
+const ORPHAN: Micros = 10_000 * MILLI;
+
+/// The shared dispatch.
+pub type Shared = Rc<RefCell<Dispatch>>;
+
+/// Starts tasks that share the dispatch.
+pub struct Tasks {
+    shared: Weak<RefCell<Dispatch>>,
+    executor: Rc<LocalExecutor<'static>>,
+}
+
+impl Tasks {
+    /// Tasks of this executor.
+    pub fn new(shared: Weak<RefCell<Dispatch>>, executor: Rc<LocalExecutor<'static>>) -> Tasks {
+        Tasks { shared, executor }
+    }
+
+    /// Starts one.
+    pub fn spawn(&self, task: impl Future<Output = ()> + 'static) {
+        self.executor.spawn(task).detach();
+    }
+}
+
+/// What the wheel holds.
+enum Due {
+    Attempt(Ticket, u32),
+    Connect(HostId, Round),
+    Redial(HostId, Round),
+    Left(Ticket),
+    Sweep,
+}
+
+/// Where a request is.
+#[derive(Debug, Clone, PartialEq)]
+enum State {
+    /// With the module; an answer is owed.
+    Held,
+    /// Offered; an answer is owed.
+    Out { attempt: u32, host: HostId, since: Micros, until: Micros, round: Option<Round> },
+    /// It stands.
+    Standing { attempt: u32, host: HostId, since: Micros },
+    /// Ended from this side; the host's word on it is awaited, and its owner is owed nothing.
+    Leaving { attempt: u32, host: HostId, since: Micros },
+}
+
+struct Request {
+    id: TaskId,
+    owner: Option<OwnerId>,
+    /// Dropped once the task stands.
+    set_up: Option<Box<SetUp>>,
+    attempts: u32,
+    state: State,
+}
+
+/// A host's release of a task that is not known here, kept for a set-up with `at` that still comes.
+struct Orphan {
+    host: HostId,
+    cause: u8,
+    detail: Detail,
+    since: Micros,
+}
+
+/// All requests, and the peers that they concern.
+pub struct Dispatch {
+    pub(super) clock: Clock,
+    pub(super) tasks: Tasks,
+    pub(super) owners: Owners,
+    name: String,
+    facade: Facade,
+    wheel: Wheel<Due>,
+    hosts: BTreeMap<HostId, Link>,
+    requests: BTreeMap<Ticket, Request>,
+    by_id: BTreeMap<TaskId, Ticket>,
+    orphans: BTreeMap<TaskId, Orphan>,
+    next: u64,
+    connect_timeout: Micros,
+    known: Vec<FeedLine>,
+    feed_up: bool,
+    closing: Option<Micros>,
+}
+
+impl Dispatch {
+    /// A dispatch that has yet to take in what the configuration knows.
+    pub fn new(config: Config, tasks: Tasks) -> Dispatch {
+        let mut clock = Clock::default();
+        let now = clock.now();
+        let connect_timeout = config.settings.connect_timeout;
+        Dispatch {
+            clock,
+            tasks,
+            owners: Owners::default(),
+            name: config.name,
+            facade: Facade::new(config.settings, config.names, config.seed),
+            wheel: Wheel::new(now),
+            hosts: BTreeMap::new(),
+            requests: BTreeMap::new(),
+            by_id: BTreeMap::new(),
+            orphans: BTreeMap::new(),
+            next: 0,
+            connect_timeout,
+            known: config.known,
+            feed_up: false,
+            closing: None,
+        }
+    }
+
+    /// Takes in the events that the configuration holds.
+    pub fn start(&mut self) {
+        let now = self.clock.now();
+        self.wheel.add(now + SWEEP, Due::Sweep);
+        for (i, event) in std::mem::take(&mut self.known).into_iter().enumerate() {
+            let Some((whole, hosts)) = event.members else { continue };
+            let entries = self.update_hosts(now, whole, hosts);
+            let news = if i == 0 { News::Known(entries) } else { News::Listed { whole, entries } };
+            self.tell(now, news);
+        }
+        self.note(format_args!("{} serves, {} hosts known", self.name, self.hosts.len()));
+    }
+
+    /// The names that the settings state.
+    pub fn names(&self) -> &Names {
+        self.facade.names()
+    }
+
+    /// Writes a line to the log.
+    pub fn note(&self, text: Arguments<'_>) {
+        let mut clock = Clock::default();
+        log::line(clock.now(), text);
+    }
+
+    // ---- Verdicts ----
+
+    fn tell(&mut self, now: Micros, news: News) {
+        let verdicts = self.facade.report(now, news);
+        self.carry_out(now, verdicts);
+    }
+
+    /// Carries out verdicts, and those that their instant results bring.
+    fn carry_out(&mut self, now: Micros, verdicts: Vec<Verdict>) {
+        let mut queue = VecDeque::from(verdicts);
+        while let Some(verdict) = queue.pop_front() {
+            let news = match verdict {
+                Verdict::Offer { ticket, host, timeout } => self.offer(now, ticket, host, timeout),
+                Verdict::Refuse { ticket, retry_after } => {
+                    let away = u64::try_from(retry_after / MILLI).ok().filter(|ms| *ms > 0);
+                    self.answer(now, ticket, |id| binary::release(id, cause::REFUSED, away))
+                }
+                Verdict::Fail { ticket } => {
+                    self.answer(now, ticket, |id| binary::release(id, cause::FAILED, None))
+                }
+                Verdict::Move { ticket } => {
+                    self.move_away(now, ticket);
+                    None
+                }
+                Verdict::GiveUp { ticket, attempt } => {
+                    self.give_up(now, ticket, Some(attempt), Outcome::Cancelled)
+                }
+                Verdict::Note(text) => {
+                    self.note(format_args!("module: {text}"));
+                    None
+                }
+            };
+            if let Some(news) = news {
+                queue.extend(self.facade.report(now, news));
+            }
+        }
+    }
+
+    /// Sends an offer, or lets it wait for the connection.
+    fn offer(&mut self, now: Micros, ticket: Ticket, host: HostId, timeout: Micros) -> Option<News> {
+        let request = self.requests.get_mut(&ticket)?;
+        let attempt = request.attempts;
+        request.attempts += 1;
+        let until = now.saturating_add(timeout);
+        request.state = State::Out { attempt, host: host.clone(), since: now, until, round: None };
+        self.wheel.add(until, Due::Attempt(ticket, attempt));
+        let link = self.hosts.get_mut(&host).filter(|link| link.dial.is_some());
+        let Some(link) = link else { return self.end_attempt(now, ticket, Outcome::Moot, Detail::None) };
+        link.waiting.push((ticket, attempt));
+        match link.phase {
+            Phase::Up(_) => self.send_waiting(now, &host),
+            Phase::Connecting(_) => {}
+            Phase::Down => self.dial(now, &host),
+        }
+        None
+    }
+
+    /// Sends the offers that wait for a connection which is now up.
+    fn send_waiting(&mut self, now: Micros, host: &HostId) {
+        let Some(link) = self.hosts.get_mut(host) else { return };
+        let Phase::Up(conn) = &link.phase else { return };
+        for (ticket, attempt) in std::mem::take(&mut link.waiting) {
+            let Some(request) = self.requests.get_mut(&ticket) else { continue };
+            let State::Out { attempt: n, round, until, .. } = &mut request.state else { continue };
+            let (true, Some(set_up)) = (*n == attempt, &request.set_up) else { continue };
+            if let Some(line) = offer_line(request.id, set_up, *until - now) {
+                *round = Some(link.round);
+                conn.send(now, &line);
+            }
+        }
+    }
+
+    /// An attempt that is out has ended: the request is the module's again.
+    fn end_attempt(&mut self, now: Micros, ticket: Ticket, outcome: Outcome, detail: Detail) -> Option<News> {
+        let request = self.requests.get_mut(&ticket)?;
+        let State::Out { attempt, host, since, .. } = &request.state else { return None };
+        let (attempt, host, elapsed) = (*attempt, host.clone(), now - since);
+        request.state = State::Held;
+        Some(News::Ended { ticket, attempt, host, outcome, detail, elapsed })
+    }
+
+    /// Stops waiting for an attempt and tells its host so: two attempts are never out at once.
+    fn give_up(&mut self, now: Micros, ticket: Ticket, only: Option<u32>, why: Outcome) -> Option<News> {
+        let request = self.requests.get(&ticket)?;
+        let State::Out { attempt, host, round, .. } = &request.state else { return None };
+        if only.is_some_and(|n| n != *attempt) {
+            return None;
+        }
+        let link = self.hosts.get(host);
+        if let Some(conn) = round.and_then(|round| link.and_then(|link| link.up(round))) {
+            conn.send(now, &lines::release(request.id, cause::NORMAL));
+        }
+        // What has not left its queue never ran.
+        let why = if round.is_none() && why == Outcome::Timeout { Outcome::ConnectFailed } else { why };
+        self.end_attempt(now, ticket, why, Detail::None)
+    }
+
+    /// The final answer: the only place that gives a refusal or a failure.
+    fn answer(&mut self, now: Micros, ticket: Ticket, word: impl Fn(TaskId) -> Vec<u8>) -> Option<News> {
+        let news = self.give_up(now, ticket, None, Outcome::Cancelled);
+        if self.requests.get(&ticket).is_some_and(|r| r.state == State::Held) {
+            let request = self.remove(ticket)?;
+            if let Some(owner) = request.owner {
+                self.owners.send(now, owner, &word(request.id));
+                self.owners.count(owner, false);
+            }
+        }
+        news
+    }
+
+    fn remove(&mut self, ticket: Ticket) -> Option<Request> {
+        let request = self.requests.remove(&ticket)?;
+        if self.by_id.get(&request.id) == Some(&ticket) {
+            self.by_id.remove(&request.id);
+        }
+        Some(request)
+    }
+
+    /// MOVE: the task ends, also at its host, and its owner comes again.
+    fn move_away(&mut self, now: Micros, ticket: Ticket) {
+        let Some(request) = self.requests.get(&ticket) else { return };
+        if matches!(request.state, State::Standing { .. }) {
+            let word = binary::moved(request.id);
+            self.owners.send_any(now, word);
+            self.leave(now, ticket, cause::CANCELLED);
+        }
+    }
+
+    /// Releases a task that stands at its host, on any connection, or on the next to open.
+    fn leave(&mut self, now: Micros, ticket: Ticket, cause: u8) {
+        let Some(request) = self.requests.get_mut(&ticket) else { return };
+        let State::Standing { attempt, host, since } = &request.state else { return };
+        let line = lines::release(request.id, cause);
+        if let Some(link) = self.hosts.get_mut(host) {
+            match &link.phase {
+                Phase::Up(conn) => conn.send(now, &line),
+                _ => link.unsent.push(line),
+            }
+        }
+        request.state = State::Leaving { attempt: *attempt, host: host.clone(), since: *since };
+        self.wheel.add(now + LEAVING, Due::Left(ticket));
+    }
+
+    /// What stood is over: its owner is told, unless it ended the task itself.
+    fn end_standing(&mut self, now: Micros, ticket: Ticket, cause: u8, detail: Detail) {
+        let Some(request) = self.remove(ticket) else { return };
+        let (attempt, host, since, outcome) = match request.state {
+            State::Standing { attempt, host, since } => {
+                self.owners.send_any(now, binary::release(request.id, cause, None));
+                let outcome = match cause {
+                    cause::NORMAL => Outcome::Ok,
+                    cause::CANCELLED => Outcome::Cancelled,
+                    _ => Outcome::Reset,
+                };
+                (attempt, host, since, outcome)
+            }
+            State::Leaving { attempt, host, since } => (attempt, host, since, Outcome::Cancelled),
+            State::Held | State::Out { .. } => return,
+        };
+        self.tell(now, News::Ended { ticket, attempt, host, outcome, detail, elapsed: now - since });
+    }
+
+    // ---- Owners ----
+
+    /// A connection from an owner is there.
+    pub fn owner_opened(&mut self, conn: Rc<Conn>) -> OwnerId {
+        let now = self.clock.now();
+        self.owners.opened(now, conn)
+    }
+
+    /// It has ended, and with it the set-ups that are open on it.
+    pub fn owner_ended(&mut self, owner: OwnerId, end: End) {
+        let now = self.clock.now();
+        self.owners.ended(owner);
+        let theirs = self.requests.iter().filter(|(_, r)| r.owner == Some(owner));
+        let open: Vec<Ticket> = theirs.filter(|(_, r)| r.owes()).map(|(ticket, _)| *ticket).collect();
+        self.note(format_args!("owner connection {owner} ended: {end}, {} set-ups open", open.len()));
+        for ticket in open {
+            self.gone(now, ticket);
+        }
+    }
+
+    /// The owner wants no answer any more.
+    fn gone(&mut self, now: Micros, ticket: Ticket) {
+        let news = self.give_up(now, ticket, None, Outcome::Cancelled);
+        if let Some(owner) = self.remove(ticket).and_then(|r| r.owner) {
+            self.owners.count(owner, false);
+        }
+        self.tell(now, News::GivenUp(ticket));
+        if let Some(news) = news {
+            self.tell(now, news);
+        }
+    }
+
+    /// A message of an owner.
+    pub fn owner_word(&mut self, owner: OwnerId, id: TaskId, word: OwnerWord) {
+        let now = self.clock.now();
+        self.owners.heard(now, owner);
+        let held = self.by_id.get(&id).copied();
+        match word {
+            OwnerWord::SetUp(set_up) => match (&set_up.at, held) {
+                (Some(host), held) => self.adopt(now, id, &set_up, &host.clone(), held),
+                (None, None) => self.set_up(now, owner, id, set_up),
+                // A second answer would break a rule: the one that is owed serves both.
+                (None, Some(_)) => self.note(format_args!("task {id}: set up twice")),
+            },
+            OwnerWord::BadSetUp(why) => {
+                self.note(format_args!("task {id}: set-up not read: {why}"));
+                if held.is_none() {
+                    self.owners.send(now, owner, &binary::release(id, cause::FAILED, None));
+                }
+            }
+            OwnerWord::Release(cause) => {
+                let Some(ticket) = held else { return };
+                if self.requests.get(&ticket).is_some_and(Request::owes) {
+                    return self.gone(now, ticket);
+                }
+                self.owners.send(now, owner, &binary::heard(id));
+                self.leave(now, ticket, cause);
+            }
+            OwnerWord::Test => {
+                self.owners.send(now, owner, &binary::tested(id, self.closing.is_none()));
+            }
+            OwnerWord::Heard | OwnerWord::Other => {}
+        }
+    }
+
+    fn take(&mut self, id: TaskId, owner: Option<OwnerId>, state: State) -> Ticket {
+        let ticket = Ticket(self.next);
+        self.next += 1;
+        self.by_id.insert(id, ticket);
+        self.requests.insert(ticket, Request { id, owner, set_up: None, attempts: 0, state });
+        ticket
+    }
+
+    fn set_up(&mut self, now: Micros, owner: OwnerId, id: TaskId, set_up: Box<SetUp>) {
+        let mut ask = set_up.ask.clone();
+        ask.budget = (set_up.wait - OWNER_SLACK).max(0);
+        if offer_line(id, &set_up, set_up.wait).is_none() {
+            self.note(format_args!("task {id}: too long for a host"));
+            return self.owners.send(now, owner, &binary::release(id, cause::FAILED, None));
+        }
+        let ticket = self.take(id, Some(owner), State::Held);
+        self.owners.count(owner, true);
+        if let Some(request) = self.requests.get_mut(&ticket) {
+            request.set_up = Some(set_up);
+        }
+        match self.facade.pick(now, ticket, &ask) {
+            Ok(verdicts) => self.carry_out(now, verdicts),
+            Err(_) => {
+                self.note(format_args!("task {id}: unknown class"));
+                self.answer(now, ticket, |id| binary::release(id, cause::FAILED, None));
+            }
+        }
+    }
+
+    /// A task that a host holds already. It may be known here, and its release may have come first.
+    fn adopt(&mut self, now: Micros, id: TaskId, set_up: &SetUp, host: &HostId, held: Option<Ticket>) {
+        if held.is_some() {
+            return;
+        }
+        let state = State::Standing { attempt: 0, host: host.clone(), since: now };
+        let ticket = self.take(id, None, state);
+        match self.facade.adopt(now, ticket, &set_up.ask, host) {
+            Ok(verdicts) => self.carry_out(now, verdicts),
+            Err(_) => self.note(format_args!("task {id}: unknown class, stands at {}", host.0)),
+        }
+        // Guards against a release that came on our new connection before the owner told of the task.
+        if let Some(orphan) = self.orphans.remove(&id).filter(|orphan| orphan.host == *host) {
+            self.end_standing(now, ticket, orphan.cause, orphan.detail);
+        } else if self.hosts.get(host).is_some_and(|link| link.state == HostState::Gone) {
+            self.end_standing(now, ticket, cause::RESET, Detail::None);
+        }
+    }
+
+    // ---- Hosts ----
+
+    /// News of the list. Tasks at what is gone, or at a process that started after them, are lost.
+    pub fn listed(&mut self, whole: bool, hosts: Vec<Listed>) {
+        let now = self.clock.now();
+        let entries = self.update_hosts(now, whole, hosts);
+        self.tell(now, News::Listed { whole, entries });
+        let lost: Vec<(HostId, Micros)> = self
+            .hosts
+            .iter()
+            .filter(|(_, link)| link.state == HostState::Gone || link.born > 0)
+            .map(|(host, link)| {
+                (host.clone(), if link.state == HostState::Gone { Micros::MAX } else { link.born })
+            })
+            .collect();
+        for (host, before) in lost {
+            self.lose(now, &host, before);
+        }
+    }
+
+    fn update_hosts(&mut self, now: Micros, whole: bool, hosts: Vec<Listed>) -> Vec<anisehead::Entry> {
+        if whole {
+            for (host, link) in &mut self.hosts {
+                if !hosts.iter().any(|h| h.entry.host == *host) {
+                    link.state = HostState::Gone;
+                }
+            }
+        }
+        let mut entries = Vec::with_capacity(hosts.len());
+        for Listed { entry, dial } in hosts {
+            let (state, born) = (entry.state, entry.ready_at);
+            let link = self.hosts.entry(entry.host.clone()).or_insert_with(|| Link::new(dial, state, born));
+            (link.state, link.born) = (state, born);
+            if dial.is_some() && link.dial != dial {
+                link.dial = dial;
+                if let Phase::Up(conn) = &link.phase {
+                    conn.stop(End::HostGone);
+                }
+            }
+            entries.push(entry);
+        }
+        // A gone host's address may be a new host's: nothing more is to reach the old one there.
+        for link in self.hosts.values_mut().filter(|link| link.state == HostState::Gone) {
+            if let Phase::Up(conn) = &link.phase {
+                conn.stop(End::HostGone);
+            }
+        }
+        let down = |link: &Link| link.state != HostState::Gone && matches!(link.phase, Phase::Down);
+        let fresh = |link: &Link| down(link) && link.failures == 0;
+        let names: Vec<HostId> =
+            self.hosts.iter().filter(|(_, link)| fresh(link)).map(|(host, _)| host.clone()).collect();
+        names.iter().for_each(|host| self.dial(now, host));
+        entries
+    }
+
+    /// Starts to connect.
+    fn dial(&mut self, now: Micros, host: &HostId) {
+        let Some(link) = self.hosts.get_mut(host) else { return };
+        let Some(address) = link.dial else { return };
+        let Some(shared) = self.tasks.shared.upgrade() else { return };
+        let (stop, stopped) = async_channel::bounded(1);
+        link.round += 1;
+        link.phase = Phase::Connecting(stop);
+        self.wheel.add(now + self.connect_timeout, Due::Connect(host.clone(), link.round));
+        self.tasks.spawn(hosts::serve(host.clone(), link.round, address, stopped, shared));
+    }
+
+    /// The connection is up; false if it is not wanted any more.
+    pub fn host_up(&mut self, host: &HostId, round: Round, conn: Rc<Conn>) -> bool {
+        let now = self.clock.now();
+        let Some(link) = self.hosts.get_mut(host) else { return false };
+        if link.round != round || !matches!(link.phase, Phase::Connecting(_)) {
+            return false;
+        }
+        link.unsent.drain(..).for_each(|line| conn.send(now, &line));
+        link.phase = Phase::Up(conn);
+        (link.failures, link.down_since) = (0, None);
+        self.send_waiting(now, host);
+        true
+    }
+
+    /// The connection was not made: what waited for it never ran.
+    pub fn host_unmade(&mut self, host: &HostId, round: Round, why: Unmade) {
+        let now = self.clock.now();
+        let Some(link) = self.hosts.get_mut(host) else { return };
+        if link.round != round || !matches!(link.phase, Phase::Connecting(_)) {
+            return;
+        }
+        link.phase = Phase::Down;
+        link.failures = link.failures.saturating_add(1);
+        let down_since = *link.down_since.get_or_insert(now);
+        let waiting = std::mem::take(&mut link.waiting);
+        if link.state != HostState::Gone {
+            self.wheel.add(now + link.pause(), Due::Redial(host.clone(), round));
+        }
+        if link.failures == 1 {
+            self.note(format_args!("host {} connection {round} ended: unmade {why:?}", host.0));
+        }
+        for (ticket, attempt) in waiting {
+            if self.is_out(ticket, attempt) {
+                let news = self.end_attempt(now, ticket, Outcome::ConnectFailed, Detail::None);
+                news.into_iter().for_each(|news| self.tell(now, news));
+            }
+        }
+        // A refused connection proves that the process is gone, and its tasks with it. One that never
+        // comes up proves nothing, until it has lasted.
+        if why == Unmade::Refused || now - down_since >= UNREACHED {
+            self.lose(now, host, Micros::MAX);
+        }
+    }
+
+    fn is_out(&self, ticket: Ticket, attempt: u32) -> bool {
+        let request = self.requests.get(&ticket);
+        request.is_some_and(|r| matches!(r.state, State::Out { attempt: n, .. } if n == attempt))
+    }
+
+    /// The connection has ended: what was offered on it may have run. What stands there still does.
+    pub fn host_ended(&mut self, host: &HostId, round: Round, end: End) {
+        let now = self.clock.now();
+        let on_it = |state: &State| matches!(state, State::Out { host: h, round: Some(r), .. } if h == host && *r == round);
+        let cut = self.requests.iter().filter(|(_, r)| on_it(&r.state));
+        let cut: Vec<Ticket> = cut.map(|(ticket, _)| *ticket).collect();
+        self.note(format_args!("host {} connection {round} ended: {end}, {} offers out", host.0, cut.len()));
+        let Some(link) = self.hosts.get_mut(host) else { return };
+        if link.round == round {
+            link.phase = Phase::Down;
+            if link.state != HostState::Gone {
+                self.dial(now, host);
+            }
+        }
+        for ticket in cut {
+            let news = self.end_attempt(now, ticket, Outcome::Reset, Detail::None);
+            news.into_iter().for_each(|news| self.tell(now, news));
+        }
+    }
+
+    /// What stood at a host since before then is lost.
+    fn lose(&mut self, now: Micros, host: &HostId, before: Micros) {
+        let there = |state: &State| match state {
+            State::Standing { host: h, since, .. } | State::Leaving { host: h, since, .. } => {
+                h == host && *since < before
+            }
+            State::Held | State::Out { .. } => false,
+        };
+        let lost = self.requests.iter().filter(|(_, r)| there(&r.state));
+        let lost: Vec<Ticket> = lost.map(|(ticket, _)| *ticket).collect();
+        if !lost.is_empty() {
+            self.note(format_args!("host {}: {} tasks lost", host.0, lost.len()));
+        }
+        lost.into_iter().for_each(|ticket| self.end_standing(now, ticket, cause::RESET, Detail::None));
+    }
+
+    /// A message of a host. It counts only for the attempt that is out there or the task that stands
+    /// there: a late word on an attempt given up is never passed on.
+    pub fn host_word(&mut self, host: &HostId, id: TaskId, word: HostWord) {
+        let now = self.clock.now();
+        let ticket = self.by_id.get(&id).copied();
+        let known = ticket.and_then(|ticket| Some((ticket, self.requests.get_mut(&ticket)?)));
+        let Some((ticket, request)) = known else {
+            if let HostWord::Down(cause, detail) = word {
+                self.heard(now, host, id);
+                self.orphans.insert(id, Orphan { host: host.clone(), cause, detail, since: now });
+            }
+            return;
+        };
+        match (&request.state, word) {
+            (State::Out { attempt, host: h, since, .. }, HostWord::Up(description)) if h == host => {
+                let (attempt, elapsed) = (*attempt, now - since);
+                request.state = State::Standing { attempt, host: host.clone(), since: now };
+                request.set_up = None;
+                if let Some(owner) = request.owner.take() {
+                    self.owners.send(now, owner, &binary::answer(id, &description));
+                    self.owners.count(owner, false);
+                }
+                self.tell(now, News::Placed { ticket, attempt, host: host.clone(), elapsed });
+            }
+            (State::Out { host: h, .. }, HostWord::Down(cause, detail)) if h == host => {
+                let outcome = match cause {
+                    cause::FULL => Outcome::Full,
+                    cause::FAILED => Outcome::Error,
+                    cause::MOOT => Outcome::Moot,
+                    _ => Outcome::Reset,
+                };
+                let news = self.end_attempt(now, ticket, outcome, detail);
+                news.into_iter().for_each(|news| self.tell(now, news));
+            }
+            (State::Standing { host: h, .. } | State::Leaving { host: h, .. }, word) if h == host => {
+                match word {
+                    HostWord::Down(cause, detail) => {
+                        self.heard(now, host, id);
+                        self.end_standing(now, ticket, cause, detail);
+                    }
+                    HostWord::Tell(note, value) => {
+                        self.tell(now, News::Noted { ticket, host: host.clone(), note, value });
+                    }
+                    HostWord::Up(_) | HostWord::Other => {}
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// Tells a host that its release was heard.
+    fn heard(&self, now: Micros, host: &HostId, id: TaskId) {
+        if let Some(Phase::Up(conn)) = self.hosts.get(host).map(|link| &link.phase) {
+            conn.send(now, &lines::heard(id));
+        }
+    }
+
+    // ---- Feed and time ----
+
+    /// A line of the feed shows that nothing is missing.
+    pub fn feed_lives(&mut self) {
+        if !std::mem::replace(&mut self.feed_up, true) {
+            let now = self.clock.now();
+            self.tell(now, News::FeedUp);
+        }
+    }
+
+    /// The feed is dead; it is called again.
+    pub fn feed_ended(&mut self, last: u64, end: End) {
+        let now = self.clock.now();
+        if std::mem::replace(&mut self.feed_up, false) {
+            self.note(format_args!("feed connection ended: {end}, after event {last}"));
+            self.tell(now, News::FeedDown);
+        }
+    }
+
+    /// SIGTERM: new work is still taken for a while, and all of it answered in time.
+    pub fn close_down(&mut self) {
+        let now = self.clock.now();
+        if self.closing.is_none() {
+            self.closing = Some(now);
+            self.note(format_args!("closing, {} requests in hand", self.requests.len()));
+            self.tell(now, News::Closing(CLOSE_ANSWER));
+        }
+    }
+
+    /// Whether the process may end.
+    pub fn finished(&mut self) -> bool {
+        let now = self.clock.now();
+        let Some(since) = self.closing else { return false };
+        let clear = !self.requests.values().any(Request::owes) && self.owners.flushed();
+        now - since >= CLOSE_END || (now - since >= CLOSE_OPEN && clear)
+    }
+
+    /// One turn of the wheel.
+    pub fn tick(&mut self) {
+        let now = self.clock.now();
+        for due in self.wheel.due(now) {
+            match due {
+                Due::Attempt(ticket, attempt) => {
+                    let news = self.give_up(now, ticket, Some(attempt), Outcome::Timeout);
+                    news.into_iter().for_each(|news| self.tell(now, news));
+                }
+                Due::Connect(host, round) => {
+                    if let Some(Link { phase: Phase::Connecting(stop), round: r, .. }) = self.hosts.get(&host)
+                        && *r == round
+                    {
+                        let _ = stop.try_send(());
+                        self.host_unmade(&host, round, Unmade::TimedOut);
+                    }
+                }
+                Due::Redial(host, round) => {
+                    let link = self.hosts.get(&host);
+                    let wanted = |l: &Link| {
+                        l.round == round && l.state != HostState::Gone && matches!(l.phase, Phase::Down)
+                    };
+                    if link.is_some_and(wanted) {
+                        self.dial(now, &host);
+                    }
+                }
+                Due::Left(ticket) => {
+                    if let Some(State::Leaving { .. }) = self.requests.get(&ticket).map(|r| &r.state) {
+                        self.end_standing(now, ticket, cause::CANCELLED, Detail::None);
+                    }
+                }
+                Due::Sweep => {
+                    self.owners.sweep(now);
+                    for link in self.hosts.values() {
+                        if let Phase::Up(conn) = &link.phase {
+                            conn.end_if_stuck(now, STUCK);
+                        }
+                    }
+                    self.orphans.retain(|_, orphan| now - orphan.since < ORPHAN);
+                    self.wheel.add(now + SWEEP, Due::Sweep);
+                }
+            }
+        }
+        let verdicts = self.facade.tick(now);
+        self.carry_out(now, verdicts);
+    }
+}
+
+impl Request {
+    /// Whether its owner waits for an answer.
+    fn owes(&self) -> bool {
+        matches!(self.state, State::Held | State::Out { .. })
+    }
+}
+
+fn offer_line(id: TaskId, set_up: &SetUp, left: Micros) -> Option<Vec<u8>> {
+    lines::offer(id, &set_up.ask.class, &set_up.key, (left / MILLI).max(1), &set_up.description)
+}
--- /dev/null
+++ b/src/net/feed.rs
@@ -0,0 +1,65 @@
+//! The control feed: subscribes, follows, and subscribes again from the last event it has.
+
+use super::codec::{feed, next_line};
+use super::conn::{Conn, End};
+use super::dispatch::Shared;
+use async_io::{Async, Timer};
+use futures_lite::future;
+use std::cell::Cell;
+use std::net::{SocketAddr, TcpStream};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// A line comes each second; a feed that tells nothing for this long is dead.
+const SILENCE: Duration = Duration::from_millis(2_500);
+const CONNECT: Duration = Duration::from_millis(1_000);
+const PAUSE: Duration = Duration::from_millis(250);
+
+/// Follows the feed for the life of the process. `last` is the number of the last event known.
+pub async fn follow(address: SocketAddr, mut last: u64, shared: Shared) {
+    loop {
+        let connect = async { Async::<TcpStream>::connect(address).await.map_err(End::from) };
+        let limit = async {
+            Timer::after(CONNECT).await;
+            Err(End::Silent)
+        };
+        let end = match future::or(connect, limit).await {
+            Ok(stream) => subscribe(Rc::new(Conn::new(stream)), &mut last, &shared).await,
+            Err(end) => end,
+        };
+        shared.borrow_mut().feed_ended(last, end);
+        Timer::after(PAUSE).await;
+    }
+}
+
+/// One subscription, until it ends. Guards against a feed that falls silent on an open connection,
+/// events that come twice, and gaps: each ends it, and the next one resumes after the last event.
+async fn subscribe(conn: Rc<Conn>, last: &mut u64, shared: &Shared) -> End {
+    let now = shared.borrow_mut().clock.now();
+    conn.send(now, format!("SUB {last}\n").as_bytes());
+    let told = Cell::new(true);
+    let take = |inbox: &mut Vec<u8>| {
+        while let Some(mut line) = next_line(inbox, feed::MOST_BYTES).map_err(End::Malformed)? {
+            told.set(true);
+            let mut dispatch = shared.borrow_mut();
+            let line = feed::read(&mut line, dispatch.names()).map_err(End::Malformed)?;
+            match line.members {
+                Some(_) if line.number <= *last => {}
+                Some((whole, hosts)) if whole || line.number == *last + 1 => {
+                    *last = line.number;
+                    dispatch.listed(whole, hosts);
+                }
+                None if line.number <= *last => dispatch.feed_lives(),
+                _ => return Err(End::Gap),
+            }
+        }
+        Ok(())
+    };
+    let silence = async {
+        while told.take() {
+            Timer::after(SILENCE).await;
+        }
+        End::Silent
+    };
+    future::or(conn.run(take), silence).await
+}
--- /dev/null
+++ b/src/net/hosts.rs
@@ -0,0 +1,135 @@
+//! Connections to hosts: one for each, kept open, made again when lost.
+
+use super::codec::{MOST_BYTES, lines, next_line};
+use super::conn::{Conn, End};
+use super::dispatch::Shared;
+use anisehead::facade::Ticket;
+use anisehead::{HostId, HostState, Micros};
+use async_channel::Sender;
+use async_io::Async;
+use futures_lite::future;
+use std::io::ErrorKind;
+use std::net::{SocketAddr, TcpStream};
+use std::rc::Rc;
+
+/// Pauses between attempts to connect: the first, doubled to the last.
+const FIRST_PAUSE: Micros = 50_000;
+const LAST_PAUSE: Micros = 800_000;
+
+/// Numbers the connections to one host.
+pub type Round = u64;
+
+/// How far the connection is.
+pub enum Phase {
+    /// There is none.
+    Down,
+    /// It is being made; what ends the attempt.
+    Connecting(Sender<()>),
+    /// It is there.
+    Up(Rc<Conn>),
+}
+
+/// One host.
+pub struct Link {
+    /// Where it listens.
+    pub dial: Option<SocketAddr>,
+    /// As the list tells.
+    pub state: HostState,
+    /// When its process started, or 0.
+    pub born: Micros,
+    /// How far the connection is.
+    pub phase: Phase,
+    /// The latest connection.
+    pub round: Round,
+    /// Offers that wait for the connection.
+    pub waiting: Vec<(Ticket, u32)>,
+    /// Releases of tasks that stand there, for the next connection.
+    pub unsent: Vec<Vec<u8>>,
+    /// Attempts to connect that have failed in a row, and since when.
+    pub failures: u32,
+    /// When the first of them failed.
+    pub down_since: Option<Micros>,
+}
+
+impl Link {
+    /// A host that was just listed.
+    pub fn new(dial: Option<SocketAddr>, state: HostState, born: Micros) -> Link {
+        Link {
+            dial,
+            state,
+            born,
+            phase: Phase::Down,
+            round: 0,
+            waiting: Vec::new(),
+            unsent: Vec::new(),
+            failures: 0,
+            down_since: None,
+        }
+    }
+
+    /// The connection of this round, if it is up.
+    pub fn up(&self, round: Round) -> Option<&Rc<Conn>> {
+        match &self.phase {
+            Phase::Up(conn) if self.round == round && !conn.stopping() => Some(conn),
+            _ => None,
+        }
+    }
+
+    /// Pause before the next attempt.
+    pub fn pause(&self) -> Micros {
+        (FIRST_PAUSE << self.failures.min(8)).min(LAST_PAUSE)
+    }
+}
+
+/// Why a connection was not made.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Unmade {
+    /// Nothing listens there: proof that nothing ran, and that the process is gone.
+    Refused,
+    /// It never came up.
+    TimedOut,
+    /// Something here or on the way failed.
+    Failed(ErrorKind),
+}
+
+/// Connects to a host and serves the connection until it ends.
+pub async fn serve(
+    host: HostId,
+    round: Round,
+    address: SocketAddr,
+    stop: async_channel::Receiver<()>,
+    shared: Shared,
+) {
+    let connect = async { Some(Async::<TcpStream>::connect(address).await) };
+    let given_up = async {
+        let _ = stop.recv().await;
+        None
+    };
+    let stream = match future::or(connect, given_up).await {
+        Some(Ok(stream)) => stream,
+        Some(Err(e)) => {
+            let why = match e.kind() {
+                ErrorKind::ConnectionRefused => Unmade::Refused,
+                ErrorKind::TimedOut | ErrorKind::HostUnreachable => Unmade::TimedOut,
+                kind => Unmade::Failed(kind),
+            };
+            return shared.borrow_mut().host_unmade(&host, round, why);
+        }
+        None => return,
+    };
+    let conn = Rc::new(Conn::new(stream));
+    if !shared.borrow_mut().host_up(&host, round, conn.clone()) {
+        return;
+    }
+    let end = conn
+        .run(|inbox| {
+            while let Some(mut line) = next_line(inbox, MOST_BYTES).map_err(End::Malformed)? {
+                let (task, word) = lines::read(&mut line).map_err(End::Malformed)?;
+                shared.borrow_mut().host_word(&host, task, word);
+            }
+            Ok(())
+        })
+        .await;
+    conn.stop(end);
+    shared.borrow_mut().host_ended(&host, round, end);
+}
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -89,6 +89,8 @@
     ticking: bool,
     probe_credit: f64,
     discovery: Discovery,
+    /// The placer ends then: no deadline is later.
+    closing: Option<Micros>,
 }
 
 impl Placer {
@@ -110,6 +112,7 @@
             ticking: false,
             probe_credit: 0.0,
             discovery: Discovery::default(),
+            closing: None,
         }
     }
 
@@ -129,6 +132,7 @@
                 self.outcome(id, *attempt, *outcome, *detail, *done, out);
             }
             Event::Gone(id) => self.jobs.close(id),
+            Event::Closing(within) => self.close_down(*within, out),
             Event::Timer(token) => self.timer(*token, out),
             Event::Probed { host, outcome, report, .. } => {
                 self.report(host, report);
@@ -255,13 +259,22 @@
             self.arrivals.push_back((self.now, size));
             self.probe_credit = (self.probe_credit + PROBES_PER_TASK).min(self.fleet.machines.len() as f64);
         }
-        let deadline = self.now + task.budget.max(0);
+        let deadline = (self.now + task.budget.max(0)).min(self.closing.unwrap_or(Micros::MAX));
         let margin = (self.s.answer_slack / 2).max(self.s.tick);
         self.jobs.all.insert(task.id.clone(), Job::new(task, deadline));
-        self.alarms.add(self.now, (task.budget - margin).max(0), Alarm::Deadline(task.id.clone()), out);
+        let after = (deadline - self.now - margin).max(0);
+        self.alarms.add(self.now, after, Alarm::Deadline(task.id.clone()), out);
         self.place(&task.id, out);
     }
 
+    /// Rule 1 at a planned end: what is not placed by then is answered then.
+    fn close_down(&mut self, within: Micros, out: &mut Vec<Action>) {
+        self.closing = Some(self.now + within);
+        for (id, _) in self.jobs.all.iter().filter(|(_, job)| !job.placed && !job.closed) {
+            self.alarms.add(self.now, within, Alarm::Deadline(id.clone()), out);
+        }
+    }
+
     fn first(&mut self, id: &ReqId, attempt: u32, elapsed: Micros) {
         let Some(job) = self.jobs.all.get_mut(id) else { return };
         let Some((n, Some(at))) = job.out else { return };
--- a/src/bin/anisehead-benchlink/boot.rs
+++ b/src/settings.rs
@@ -1,42 +1,131 @@
-//! The settings of an instance, from the `path=value` pairs of its first message.
+//! The one reader from the names and values of a deployment to [`Settings`].
+//!
+//! Both programs state the same names: the simulator as `path=value` pairs, the real placer's
+//! configuration as nested JSON, which [`flatten`] turns into the same paths.
 
-use crate::wire::{Fields, Names, Problem, millis, parse_number};
-use anisehead::*;
+use crate::interface::*;
+use simd_json::BorrowedValue;
+use simd_json::prelude::*;
 use std::collections::BTreeMap;
+use std::fmt;
 
-struct Pairs<'a> {
-    f: &'a Fields<'a>,
-    map: BTreeMap<&'a str, &'a str>,
+/// The names that the settings state, for turning names into indices.
+#[derive(Debug, Clone, Default)]
+pub struct Names {
+    /// Task classes.
+    pub classes: Vec<String>,
+    /// Tenants.
+    pub tenants: Vec<String>,
+    /// Machine kinds.
+    pub kinds: Vec<String>,
+    /// Zones.
+    pub zones: Vec<String>,
 }
 
-impl<'a> Pairs<'a> {
-    fn get(&self, key: &str) -> Result<&'a str, Problem> {
-        self.map.get(key).copied().ok_or_else(|| self.f.problem(key, "missing setting"))
+/// Settings by path, such as `services.0.aim`.
+pub type Pairs = BTreeMap<String, String>;
+
+/// A setting that is missing or can't be read.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SettingsError {
+    /// Its path.
+    pub field: String,
+    /// What is wrong with it.
+    pub what: String,
+}
+
+impl SettingsError {
+    fn new(field: &str, what: &str) -> SettingsError {
+        SettingsError { field: field.to_string(), what: what.to_string() }
+    }
+}
+
+impl fmt::Display for SettingsError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "setting {}: {}", self.field, self.what)
+    }
+}
+
+impl std::error::Error for SettingsError {}
+
+/// A finite number in text.
+pub fn parse_number(text: &str) -> Option<f64> {
+    text.parse::<f64>().ok().filter(|v| v.is_finite())
+}
+
+/// Milliseconds to whole microseconds.
+pub fn millis(value: f64) -> Micros {
+    (value * 1000.0).round() as Micros
+}
+
+/// Nested JSON as paths: objects nest with dots, lists of plain values are joined with commas, and
+/// lists of objects state their length under `.count`.
+pub fn flatten(value: &BorrowedValue<'_>) -> Pairs {
+    let mut pairs = Pairs::new();
+    add_paths(&mut pairs, "", value);
+    pairs
+}
+
+fn add_paths(pairs: &mut Pairs, path: &str, value: &BorrowedValue<'_>) {
+    let below = |name: &str| if path.is_empty() { name.to_string() } else { format!("{path}.{name}") };
+    match value {
+        BorrowedValue::Object(map) => {
+            map.iter().for_each(|(name, value)| add_paths(pairs, &below(name), value));
+        }
+        BorrowedValue::Array(items) if items.iter().any(|v| v.is_object()) => {
+            pairs.insert(below("count"), items.len().to_string());
+            items.iter().enumerate().for_each(|(i, v)| add_paths(pairs, &below(&i.to_string()), v));
+        }
+        BorrowedValue::Array(items) => {
+            let words: Vec<String> = items.iter().map(plain).collect();
+            pairs.insert(path.to_string(), words.join(","));
+        }
+        plain_value => {
+            pairs.insert(path.to_string(), plain(plain_value));
+        }
     }
+}
 
-    fn bad(&self, key: &str, value: &str) -> Problem {
-        self.f.problem(key, &format!("bad value: {value}"))
+fn plain(value: &BorrowedValue<'_>) -> String {
+    match value.as_str() {
+        Some(text) => text.replace([' ', ','], "_"),
+        None if value.is_null() => "-".to_string(),
+        None => value.encode(),
     }
+}
 
-    fn number(&self, key: &str) -> Result<f64, Problem> {
+struct Reader<'a> {
+    map: &'a Pairs,
+}
+
+impl<'a> Reader<'a> {
+    fn get(&self, key: &str) -> Result<&'a str, SettingsError> {
+        self.map.get(key).map(String::as_str).ok_or_else(|| SettingsError::new(key, "missing setting"))
+    }
+
+    fn bad(&self, key: &str, value: &str) -> SettingsError {
+        SettingsError::new(key, &format!("bad value: {value}"))
+    }
+
+    fn number(&self, key: &str) -> Result<f64, SettingsError> {
         let text = self.get(key)?;
         parse_number(text).ok_or_else(|| self.bad(key, text))
     }
 
-    fn number_or(&self, key: &str, absent: f64) -> Result<f64, Problem> {
+    fn number_or(&self, key: &str, absent: f64) -> Result<f64, SettingsError> {
         if self.map.contains_key(key) { self.number(key) } else { Ok(absent) }
     }
 
-    fn span(&self, key: &str) -> Result<Micros, Problem> {
+    fn span(&self, key: &str) -> Result<Micros, SettingsError> {
         self.number(key).map(millis)
     }
 
-    fn count(&self, key: &str) -> Result<usize, Problem> {
+    fn count(&self, key: &str) -> Result<usize, SettingsError> {
         let text = self.get(key)?;
         text.parse().map_err(|_| self.bad(key, text))
     }
 
-    fn flag(&self, key: &str) -> Result<bool, Problem> {
+    fn flag(&self, key: &str) -> Result<bool, SettingsError> {
         match self.get(key)? {
             "true" | "1" => Ok(true),
             "false" | "0" => Ok(false),
@@ -44,32 +133,32 @@
         }
     }
 
-    fn names(&self, key: &str) -> Result<Vec<String>, Problem> {
+    fn names(&self, key: &str) -> Result<Vec<String>, SettingsError> {
         Ok(words(self.get(key)?).map(str::to_string).collect())
     }
 
-    fn one_of<T: Copy>(&self, key: &str, table: &[(&str, T)]) -> Result<T, Problem> {
+    fn one_of<T: Copy>(&self, key: &str, table: &[(&str, T)]) -> Result<T, SettingsError> {
         self.pick(key, self.get(key)?, table)
     }
 
-    fn pick<T: Copy>(&self, key: &str, text: &str, table: &[(&str, T)]) -> Result<T, Problem> {
+    fn pick<T: Copy>(&self, key: &str, text: &str, table: &[(&str, T)]) -> Result<T, SettingsError> {
         let found = table.iter().find(|(word, _)| *word == text).map(|(_, value)| *value);
         found.ok_or_else(|| self.bad(key, text))
     }
 
     /// Item `i` of a list with one item per class.
-    fn item(&self, key: &str, i: usize) -> Result<&'a str, Problem> {
-        words(self.get(key)?).nth(i).ok_or_else(|| self.f.problem(key, "fewer items than classes"))
+    fn item(&self, key: &str, i: usize) -> Result<&'a str, SettingsError> {
+        words(self.get(key)?).nth(i).ok_or_else(|| SettingsError::new(key, "fewer items than names"))
     }
 
-    fn item_number(&self, key: &str, i: usize) -> Result<f64, Problem> {
+    fn item_number(&self, key: &str, i: usize) -> Result<f64, SettingsError> {
         let text = self.item(key, i)?;
         parse_number(text).ok_or_else(|| self.bad(key, text))
     }
 
-    fn class(&self, i: usize) -> Result<Class, Problem> {
+    fn class(&self, i: usize) -> Result<Class, SettingsError> {
         let key = |name: &str| format!("services.{i}.{name}");
-        let group = match self.map.get(key("group").as_str()) {
+        let group = match self.map.get(&key("group")) {
             None => Group::All,
             Some(text) => self.pick(
                 &key("group"),
@@ -113,16 +202,9 @@
     names.iter().position(|n| n == name)
 }
 
-/// Reads the settings from the values of `f` from `first` on.
-pub fn settings(f: &Fields, first: usize) -> Result<(Settings, Names), Problem> {
-    let mut map = BTreeMap::new();
-    for pair in &f.values[first.min(f.values.len())..] {
-        let Some((key, value)) = pair.split_once('=') else {
-            return Err(f.problem("boot_info", &format!("not a pair: {pair}")));
-        };
-        map.insert(key, value);
-    }
-    let p = Pairs { f, map };
+/// Reads the settings, and the names they state.
+pub fn read(pairs: &Pairs) -> Result<(Settings, Names), SettingsError> {
+    let p = Reader { map: pairs };
     let count = p.count("services.count")?;
     let classes = (0..count).map(|i| p.class(i)).collect::<Result<Vec<_>, _>>()?;
     let class_names = (0..count)
@@ -151,7 +233,7 @@
     }
     let zones = p.names("zones")?;
     let on_ask = p.one_of("membership_mode", &[("automatic", false), ("subscribe", true)])?;
-    let report = if matches!(p.map.get("report.via"), None | Some(&"off")) {
+    let report = if matches!(p.map.get("report.via").map(String::as_str), None | Some("off")) {
         Vec::new()
     } else {
         p.names("report.names")?.iter().map(|name| report_field(name)).collect()
--- a/tests/random_events.rs
+++ b/tests/random_events.rs
@@ -269,7 +269,7 @@
                 let kind = [ListKind::Delta, ListKind::Full, ListKind::Failed][self.pick(3)];
                 self.members(kind);
             }
-            10 if n % 3 == 0 => {
+            10 if n.is_multiple_of(3) => {
                 let which = self.pick(self.tasks.len());
                 let id = self.tasks.keys().nth(which).cloned();
                 if let Some(id) = id.filter(|id| !self.tasks[id].answered && !self.tasks[id].placed) {
