Replace a host connection that stays silent while an offer is out on it

Lines: hosts kept one connection and nothing doubted it. Now an offer out for 1 s on a connection that has said nothing since brings a second one beside it; where none comes up for 1.5 s what stood there is lost.

--- a/src/net/conn.rs
+++ b/src/net/conn.rs
@@ -33,8 +33,10 @@
     Idle,
     /// The host is gone or has another address.
     HostGone,
-    /// The feed told nothing for too long.
+    /// The peer told nothing for too long.
     Silent,
+    /// Another connection to the same host has taken its place.
+    Replaced,
     /// The feed's numbers leave a gap.
     Gap,
 }
@@ -50,6 +52,7 @@
             End::Malformed(what) => write!(f, "malformed:{what}"),
             End::Idle => write!(f, "idle"),
             End::HostGone => write!(f, "host-gone"),
+            End::Replaced => write!(f, "replaced"),
             End::Silent => write!(f, "silent"),
             End::Gap => write!(f, "gap"),
         }
--- a/src/net/dispatch.rs
+++ b/src/net/dispatch.rs
@@ -33,7 +33,9 @@
 const CLOSE_ANSWER: Micros = 3_300 * MILLI;
 const CLOSE_END: Micros = 3_500 * MILLI;
 /// How long a host may be out of reach until what stood there counts as lost.
-const UNREACHED: Micros = 2_500 * MILLI;
+const UNREACHED: Micros = 1_500 * MILLI;
+/// How long an offer may be out on a connection on which nothing is heard.
+const DOUBT: Micros = 1_000 * MILLI;
 /// How long a host may take to confirm a release.
 const LEAVING: Micros = 3_000 * MILLI;
 /// How long a release of a task not yet known is kept.
@@ -63,6 +65,7 @@
 /// What the wheel holds.
 enum Due {
     Attempt(Ticket, u32),
+    Doubt(Ticket, u32),
     Connect(HostId, Round),
     Redial(HostId, Round),
     Left(Ticket),
@@ -229,6 +232,7 @@
         let Some(link) = self.hosts.get_mut(host) else { return };
         let Phase::Up(conn) = &link.phase else { return };
         for (ticket, attempt) in std::mem::take(&mut link.waiting) {
+            self.wheel.add(now + DOUBT, Due::Doubt(ticket, attempt));
             let Some(request) = self.requests.get_mut(&ticket) else { continue };
             let State::Out { attempt: n, round, until, .. } = &mut request.state else { continue };
             let (true, Some(set_up)) = (*n == attempt, &request.set_up) else { continue };
@@ -256,7 +260,7 @@
             return None;
         }
         let link = self.hosts.get(host);
-        if let Some(conn) = round.and_then(|round| link.and_then(|link| link.up(round))) {
+        if let Some(conn) = round.and_then(|round| link.and_then(|link| link.open(round))) {
             conn.send(now, &lines::release(request.id, cause::NORMAL));
         }
         // What has not left its queue never ran.
@@ -477,17 +481,13 @@
             (link.state, link.born) = (state, born);
             if dial.is_some() && link.dial != dial {
                 link.dial = dial;
-                if let Phase::Up(conn) = &link.phase {
-                    conn.stop(End::HostGone);
-                }
+                link.conns().for_each(|conn| conn.stop(End::HostGone));
             }
             entries.push(entry);
         }
         // A gone host's address may be a new host's: nothing more is to reach the old one there.
         for link in self.hosts.values_mut().filter(|link| link.state == HostState::Gone) {
-            if let Phase::Up(conn) = &link.phase {
-                conn.stop(End::HostGone);
-            }
+            link.conns().for_each(|conn| conn.stop(End::HostGone));
         }
         let down = |link: &Link| link.state != HostState::Gone && matches!(link.phase, Phase::Down);
         let fresh = |link: &Link| down(link) && link.failures == 0;
@@ -518,7 +518,7 @@
         }
         link.unsent.drain(..).for_each(|line| conn.send(now, &line));
         link.phase = Phase::Up(conn);
-        (link.failures, link.down_since) = (0, None);
+        (link.failures, link.down_since, link.heard) = (0, None, now);
         self.send_waiting(now, host);
         true
     }
@@ -546,13 +546,34 @@
                 news.into_iter().for_each(|news| self.tell(now, news));
             }
         }
-        // A refused connection proves that the process is gone, and its tasks with it. One that never
-        // comes up proves nothing, until it has lasted.
-        if why == Unmade::Refused || now - down_since >= UNREACHED {
+        // A refused connection proves that the process is gone, and its tasks with it, unless another
+        // is still open. One that never comes up proves nothing, until it has lasted.
+        let Some(link) = self.hosts.get(host) else { return };
+        let refused = why == Unmade::Refused && link.doubted.is_empty();
+        if refused || (why != Unmade::Refused && now - down_since >= UNREACHED) {
+            link.conns().for_each(|conn| conn.stop(End::Silent));
             self.lose(now, host, Micros::MAX);
         }
     }
 
+    /// An offer is out and its host has said nothing since. Guards against a machine that vanished: its
+    /// connection stays open and silent. Another is made beside it, so that later offers don't vanish
+    /// too; where none comes up either, what stands there is lost. Offers stay out on the silent one.
+    fn doubt(&mut self, now: Micros, ticket: Ticket, attempt: u32) {
+        let Some(Request { state: State::Out { attempt: n, host, since, round, .. }, .. }) =
+            self.requests.get(&ticket)
+        else {
+            return;
+        };
+        let (host, silent_since) = (host.clone(), *since);
+        let Some(link) = self.hosts.get_mut(&host) else { return };
+        let current = *n == attempt && *round == Some(link.round) && link.heard < silent_since;
+        if let (true, Phase::Up(conn)) = (current, &link.phase) {
+            link.doubted.push((link.round, conn.clone()));
+            self.dial(now, &host);
+        }
+    }
+
     fn is_out(&self, ticket: Ticket, attempt: u32) -> bool {
         let request = self.requests.get(&ticket);
         request.is_some_and(|r| matches!(r.state, State::Out { attempt: n, .. } if n == attempt))
@@ -561,11 +582,11 @@
     /// The connection has ended: what was offered on it may have run. What stands there still does.
     pub fn host_ended(&mut self, host: &HostId, round: Round, end: End) {
         let now = self.clock.now();
-        let on_it = |state: &State| matches!(state, State::Out { host: h, round: Some(r), .. } if h == host && *r == round);
-        let cut = self.requests.iter().filter(|(_, r)| on_it(&r.state));
+        let cut = self.requests.iter().filter(|(_, r)| r.out_on(host, round));
         let cut: Vec<Ticket> = cut.map(|(ticket, _)| *ticket).collect();
         self.note(format_args!("host {} connection {round} ended: {end}, {} offers out", host.0, cut.len()));
         let Some(link) = self.hosts.get_mut(host) else { return };
+        link.doubted.retain(|(r, _)| *r != round);
         if link.round == round {
             link.phase = Phase::Down;
             if link.state != HostState::Gone {
@@ -598,6 +619,9 @@
     /// there: a late word on an attempt given up is never passed on.
     pub fn host_word(&mut self, host: &HostId, id: TaskId, word: HostWord) {
         let now = self.clock.now();
+        if let Some(link) = self.hosts.get_mut(host) {
+            link.heard = now;
+        }
         let ticket = self.by_id.get(&id).copied();
         let known = ticket.and_then(|ticket| Some((ticket, self.requests.get_mut(&ticket)?)));
         let Some((ticket, request)) = known else {
@@ -688,6 +712,19 @@
         now - since >= CLOSE_END || (now - since >= CLOSE_OPEN && clear)
     }
 
+    /// Ends connections that are stuck, and replaced ones on which no offer is out any more.
+    fn sweep_hosts(&self, now: Micros) {
+        let out_on = |host: &HostId, round| self.requests.values().any(|r| r.out_on(host, round));
+        for (host, link) in &self.hosts {
+            link.conns().for_each(|conn| conn.end_if_stuck(now, STUCK));
+            for (round, conn) in &link.doubted {
+                if matches!(link.phase, Phase::Up(_)) && !out_on(host, *round) {
+                    conn.stop(End::Replaced);
+                }
+            }
+        }
+    }
+
     /// One turn of the wheel.
     pub fn tick(&mut self) {
         let now = self.clock.now();
@@ -697,6 +734,7 @@
                     let news = self.give_up(now, ticket, Some(attempt), Outcome::Timeout);
                     news.into_iter().for_each(|news| self.tell(now, news));
                 }
+                Due::Doubt(ticket, attempt) => self.doubt(now, ticket, attempt),
                 Due::Connect(host, round) => {
                     if let Some(Link { phase: Phase::Connecting(stop), round: r, .. }) = self.hosts.get(&host)
                         && *r == round
@@ -721,11 +759,7 @@
                 }
                 Due::Sweep => {
                     self.owners.sweep(now);
-                    for link in self.hosts.values() {
-                        if let Phase::Up(conn) = &link.phase {
-                            conn.end_if_stuck(now, STUCK);
-                        }
-                    }
+                    self.sweep_hosts(now);
                     self.orphans.retain(|_, orphan| now - orphan.since < ORPHAN);
                     self.wheel.add(now + SWEEP, Due::Sweep);
                 }
@@ -741,6 +775,11 @@
     fn owes(&self) -> bool {
         matches!(self.state, State::Held | State::Out { .. })
     }
+
+    /// Whether its offer is out on this connection.
+    fn out_on(&self, host: &HostId, round: Round) -> bool {
+        matches!(&self.state, State::Out { host: h, round: Some(r), .. } if h == host && *r == round)
+    }
 }
 
 fn offer_line(id: TaskId, set_up: &SetUp, left: Micros) -> Option<Vec<u8>> {
--- a/src/net/hosts.rs
+++ b/src/net/hosts.rs
@@ -41,6 +41,10 @@
     pub phase: Phase,
     /// The latest connection.
     pub round: Round,
+    /// Connections that were replaced because they fell silent; offers may still be out on them.
+    pub doubted: Vec<(Round, Rc<Conn>)>,
+    /// When the host was last heard.
+    pub heard: Micros,
     /// Offers that wait for the connection.
     pub waiting: Vec<(Ticket, u32)>,
     /// Releases of tasks that stand there, for the next connection.
@@ -60,6 +64,8 @@
             born,
             phase: Phase::Down,
             round: 0,
+            doubted: Vec::new(),
+            heard: 0,
             waiting: Vec::new(),
             unsent: Vec::new(),
             failures: 0,
@@ -67,14 +73,23 @@
         }
     }
 
-    /// The connection of this round, if it is up.
-    pub fn up(&self, round: Round) -> Option<&Rc<Conn>> {
+    /// The connection of this round, if it is open.
+    pub fn open(&self, round: Round) -> Option<&Rc<Conn>> {
         match &self.phase {
-            Phase::Up(conn) if self.round == round && !conn.stopping() => Some(conn),
-            _ => None,
+            Phase::Up(conn) if self.round == round => Some(conn),
+            _ => self.doubted.iter().find(|(r, _)| *r == round).map(|(_, conn)| conn),
         }
     }
 
+    /// All open connections.
+    pub fn conns(&self) -> impl Iterator<Item = &Rc<Conn>> {
+        let current = match &self.phase {
+            Phase::Up(conn) => Some(conn),
+            Phase::Down | Phase::Connecting(_) => None,
+        };
+        current.into_iter().chain(self.doubted.iter().map(|(_, conn)| conn))
+    }
+
     /// Pause before the next attempt.
     pub fn pause(&self) -> Micros {
         (FIRST_PAUSE << self.failures.min(8)).min(LAST_PAUSE)
