Take a host's release with cause 16 before the answer as the task's end

Ruled out: our own give-ups (none was out), late words (host and attempt match). Lines: host_word in dispatch.rs mapped cause 16 before the answer to a reset. Now it is the task's end, and its owner gets the one final answer with that cause.

--- a/src/net/dispatch.rs
+++ b/src/net/dispatch.rs
@@ -642,6 +642,16 @@
                 }
                 self.tell(now, News::Placed { ticket, attempt, host: host.clone(), elapsed });
             }
+            // The task's own time is over: hosts release it so wherever it is offered. Guards against
+            // offering it again and holding each of these hosts for broken; its owner is told the cause.
+            (State::Out { attempt, host: h, since, .. }, HostWord::Down(cause::NORMAL, detail))
+                if h == host =>
+            {
+                let (attempt, host, elapsed, outcome) = (*attempt, host.clone(), now - since, Outcome::Ok);
+                request.state = State::Held;
+                self.answer(now, ticket, |id| binary::release(id, cause::NORMAL, None));
+                self.tell(now, News::Ended { ticket, attempt, host, outcome, detail, elapsed });
+            }
             (State::Out { host: h, .. }, HostWord::Down(cause, detail)) if h == host => {
                 let outcome = match cause {
                     cause::FULL => Outcome::Full,
