--- a/src/net/codec/feed.rs
+++ b/src/net/codec/feed.rs
@@ -79,3 +79,45 @@
         dial,
     })
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn names() -> Names {
+        Names { zones: vec!["west".into(), "east".into()], kinds: vec!["std".into()], ..Names::default() }
+    }
+
+    #[test]
+    fn events_are_read_and_bad_ones_are_typed_errors() {
+        let host = r#"{"host":"s-1","dial":"127.0.0.1:5060","site":"east","class":"std","block":2,"health":"up","share":4,"born_ms":1500,"unasked":[3.5,-1]}"#;
+        let event =
+            |host: &str| format!(r#"{{"n":41,"members":{{"seq":7,"whole":false,"hosts":[{host}]}}}}"#);
+        let read_text = |text: &str| read(&mut text.as_bytes().to_vec(), &names());
+        let line = read_text(&event(host)).expect("good");
+        let (whole, hosts) = line.members.expect("hosts");
+        assert_eq!((line.number, whole, hosts.len()), (41, false, 1));
+        let Listed { entry, dial } = &hosts[0];
+        assert_eq!(
+            (&*entry.host.0, entry.zone, entry.kind, entry.cell),
+            ("s-1", ZoneId(1), KindId(0), CellId(2))
+        );
+        assert_eq!((entry.state, entry.ready_at), (HostState::Up, 1_500_000));
+        assert_eq!((entry.free_cores, entry.free_memory, dial.map(|d| d.port())), (3.5, -1.0, Some(5060)));
+        assert!(read_text(r#"{"n":41}"#).is_ok_and(|line| line.members.is_none()));
+        assert!(read_text(&event(r#"{"host":"s-1","health":"removed"}"#)).is_ok(), "its name is enough");
+        let cases = [
+            ("{\"n\":".to_string(), Malformed::Json),
+            ("{}".to_string(), Malformed::Field("n")),
+            (r#"{"n":1,"members":{}}"#.to_string(), Malformed::Field("whole")),
+            (event(&host.replace("\"up\"", "\"odd\"")), Malformed::Field("health")),
+            (event(&host.replace("\"east\"", "\"odd\"")), Malformed::Field("site")),
+            (event(&host.replace("\"std\"", "\"odd\"")), Malformed::Field("class")),
+            (event(&host.replace("127.0.0.1:5060", "here")), Malformed::Field("dial")),
+            (event(&host.replace("\"host\"", "\"hots\"")), Malformed::Field("host")),
+        ];
+        for (text, why) in cases {
+            assert_eq!(read_text(&text).map(|_| ()), Err(why), "{text}");
+        }
+    }
+}
--- a/src/net/conn.rs
+++ b/src/net/conn.rs
@@ -211,3 +211,42 @@
         Ok(())
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::net::TcpListener;
+
+    /// A connection, and the peer's end of it, which reads nothing.
+    fn pair() -> (Conn, TcpStream) {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let stream = TcpStream::connect(listener.local_addr().expect("an address")).expect("a connection");
+        let (peer, _) = listener.accept().expect("a connection");
+        (Conn::new(Async::new(stream).expect("a socket")), peer)
+    }
+
+    #[test]
+    fn a_peer_that_never_reads_is_ended_with_a_reason_and_its_queue_is_bounded() {
+        let (conn, _peer) = pair();
+        let mut sent = 0;
+        while !conn.stopping() {
+            conn.send(0, &[0; 8192]);
+            sent += 8192;
+            assert!(sent < 1 << 30, "no end");
+        }
+        assert_eq!(conn.end.get(), Some(End::QueueFull));
+        assert!(conn.queue.borrow().len() <= MOST_QUEUED);
+    }
+
+    #[test]
+    fn a_peer_that_takes_nothing_for_too_long_is_ended() {
+        let (conn, _peer) = pair();
+        while conn.flushed() {
+            conn.send(1_000, &[0; 8192]);
+        }
+        conn.end_if_stuck(6_000, 5_000);
+        assert!(!conn.stopping());
+        conn.end_if_stuck(6_001, 5_000);
+        assert_eq!(conn.end.get(), Some(End::Stalled));
+    }
+}
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -103,6 +103,37 @@
     assert!(!refused(&done) && !failed(&done));
 }
 
+#[test]
+fn a_refusal_tells_when_to_come_back_where_owners_are_told() {
+    for (told, most, expected) in
+        [(true, 3 * SECOND, SECOND), (true, SECOND / 2, SECOND / 2), (false, SECOND, 0)]
+    {
+        let mut s = settings();
+        (s.retry_after, s.max_retry_after) = (told, most);
+        let mut b = Bench::with(s, 0);
+        b.ask(task(1, 1));
+        let refused = untimed(b.pass(20 * SECOND));
+        assert_eq!(refused, [Action::Refuse { id: req(1), retry_after: expected }]);
+    }
+}
+
+#[test]
+fn at_a_planned_end_all_that_is_owed_is_answered_in_time() {
+    let mut b = Bench::with(with_effect(Effect::Unsafe), 3);
+    let host = sent(&b.ask(task(1, 1)));
+    b.first(1, 0, &host);
+    sent(&b.ask(task(2, 2)));
+    b.give(Event::Closing(SECOND));
+    let start = b.now;
+    sent(&b.ask(task(3, 3)));
+    let done = b.pass(20 * SECOND);
+    // The one that stands is owed nothing; those that are out may have run.
+    let failed: Vec<_> = done.iter().filter(|(_, a)| matches!(a, Action::Fail { .. })).collect();
+    assert_eq!(failed.len(), 2, "{done:?}");
+    assert!(failed.iter().all(|(at, _)| *at <= start + SECOND), "{failed:?}");
+    assert!(!refused(&untimed(done)));
+}
+
 // ---- Rule 2: what each outcome permits ----
 
 #[test]
