Call the other hosts of a cell again when one is gone or out of reach

All resets seen were on connections with an offer out. Ruled out: a late feed or a slow read here (the other two arrived within 1 ms of each other). Lines: host_unmade in dispatch.rs looked at the failed host alone. Now the first failure to connect makes a second connection to each other host of that cell; where that is refused too, what stands there is lost. Replaced connections are no longer closed at once: a word under way on them would be lost.

--- a/src/net/codec/feed.rs
+++ b/src/net/codec/feed.rs
@@ -72,7 +72,8 @@
             cell: CellId(value.get_u64("block").unwrap_or(0)),
             kind: KindId(place("class", &names.kinds)?),
             state,
-            ready_at: value.get("born_ms").and_then(number).map_or(0, millis),
+            // Bounded, so that sums with it stay far from their limits.
+            ready_at: value.get("born_ms").and_then(number).map_or(0, |ms| millis(ms.clamp(0.0, 1e14))),
             free_cores: free(0),
             free_memory: free(1),
         },
--- a/src/net/dispatch.rs
+++ b/src/net/dispatch.rs
@@ -36,6 +36,8 @@
 const UNREACHED: Micros = 1_500 * MILLI;
 /// How long an offer may be out on a connection on which nothing is heard.
 const DOUBT: Micros = 1_000 * MILLI;
+/// Replaced connections to a host that are kept.
+const MOST_DOUBTED: usize = 3;
 /// How long a host may take to confirm a release.
 const LEAVING: Micros = 3_000 * MILLI;
 /// How long a release of a task not yet known is kept.
@@ -124,7 +126,7 @@
 impl Dispatch {
     /// A dispatch that has yet to take in what the configuration knows.
     pub fn new(config: Config, tasks: Tasks) -> Dispatch {
-        let mut clock = Clock::default();
+        let clock = Clock::default();
         let now = clock.now();
         let connect_timeout = config.settings.connect_timeout;
         Dispatch {
@@ -166,8 +168,7 @@
 
     /// Writes a line to the log.
     pub fn note(&self, text: Arguments<'_>) {
-        let mut clock = Clock::default();
-        log::line(clock.now(), text);
+        log::line(self.clock.now(), text);
     }
 
     // ---- Verdicts ----
@@ -475,10 +476,10 @@
             }
         }
         let mut entries = Vec::with_capacity(hosts.len());
-        for Listed { entry, dial } in hosts {
-            let (state, born) = (entry.state, entry.ready_at);
-            let link = self.hosts.entry(entry.host.clone()).or_insert_with(|| Link::new(dial, state, born));
-            (link.state, link.born) = (state, born);
+        for listed in hosts {
+            let link = self.hosts.entry(listed.entry.host.clone()).or_insert_with(|| Link::new(&listed));
+            let Listed { entry, dial } = listed;
+            (link.state, link.cell, link.born) = (entry.state, entry.cell, entry.ready_at);
             if dial.is_some() && link.dial != dial {
                 link.dial = dial;
                 link.conns().for_each(|conn| conn.stop(End::HostGone));
@@ -504,6 +505,7 @@
         let Some(shared) = self.tasks.shared.upgrade() else { return };
         let (stop, stopped) = async_channel::bounded(1);
         link.round += 1;
+        link.dialled = now;
         link.phase = Phase::Connecting(stop);
         self.wheel.add(now + self.connect_timeout, Due::Connect(host.clone(), link.round));
         self.tasks.spawn(hosts::serve(host.clone(), link.round, address, stopped, shared));
@@ -537,7 +539,8 @@
         if link.state != HostState::Gone {
             self.wheel.add(now + link.pause(), Due::Redial(host.clone(), round));
         }
-        if link.failures == 1 {
+        let first = link.failures == 1;
+        if first {
             self.note(format_args!("host {} connection {round} ended: unmade {why:?}", host.0));
         }
         for (ticket, attempt) in waiting {
@@ -546,31 +549,50 @@
                 news.into_iter().for_each(|news| self.tell(now, news));
             }
         }
-        // A refused connection proves that the process is gone, and its tasks with it, unless another
-        // is still open. One that never comes up proves nothing, until it has lasted.
+        // A refused connection proves that the process is gone, and its tasks with it, unless it is heard
+        // on another. One that never comes up proves nothing, until it has lasted.
         let Some(link) = self.hosts.get(host) else { return };
-        let refused = why == Unmade::Refused && link.doubted.is_empty();
-        if refused || (why != Unmade::Refused && now - down_since >= UNREACHED) {
+        let silent = link.heard <= link.dialled;
+        if silent && (why == Unmade::Refused || now - down_since >= UNREACHED) {
             link.conns().for_each(|conn| conn.stop(End::Silent));
             self.lose(now, host, Micros::MAX);
         }
+        if first {
+            self.doubt_cell(now, host);
+        }
+    }
+
+    /// Guards against machines of a cell that died together: where nothing is out on a connection its
+    /// end may go unheard, and what stands there would be lost only when the feed tells.
+    fn doubt_cell(&mut self, now: Micros, failed: &HostId) {
+        let Some(cell) = self.hosts.get(failed).map(|link| link.cell) else { return };
+        let others = self.hosts.iter().filter(|(host, link)| *host != failed && link.cell == cell);
+        let others: Vec<HostId> = others.map(|(host, _)| host.clone()).collect();
+        others.iter().for_each(|host| self.doubt(now, host));
+    }
+
+    /// Makes another connection beside the one that is up.
+    fn doubt(&mut self, now: Micros, host: &HostId) {
+        let Some(link) = self.hosts.get_mut(host) else { return };
+        if let Phase::Up(conn) = &link.phase {
+            link.doubted.push((link.round, conn.clone()));
+            self.dial(now, host);
+        }
     }
 
     /// An offer is out and its host has said nothing since. Guards against a machine that vanished: its
     /// connection stays open and silent. Another is made beside it, so that later offers don't vanish
     /// too; where none comes up either, what stands there is lost. Offers stay out on the silent one.
-    fn doubt(&mut self, now: Micros, ticket: Ticket, attempt: u32) {
+    fn doubt_silent(&mut self, now: Micros, ticket: Ticket, attempt: u32) {
         let Some(Request { state: State::Out { attempt: n, host, since, round, .. }, .. }) =
             self.requests.get(&ticket)
         else {
             return;
         };
-        let (host, silent_since) = (host.clone(), *since);
-        let Some(link) = self.hosts.get_mut(&host) else { return };
-        let current = *n == attempt && *round == Some(link.round) && link.heard < silent_since;
-        if let (true, Phase::Up(conn)) = (current, &link.phase) {
-            link.doubted.push((link.round, conn.clone()));
-            self.dial(now, &host);
+        let host = host.clone();
+        let Some(link) = self.hosts.get(&host) else { return };
+        if *n == attempt && *round == Some(link.round) && link.heard < *since {
+            self.doubt(now, &host);
         }
     }
 
@@ -715,20 +737,21 @@
     }
 
     /// Whether the process may end.
-    pub fn finished(&mut self) -> bool {
+    pub fn finished(&self) -> bool {
         let now = self.clock.now();
         let Some(since) = self.closing else { return false };
         let clear = !self.requests.values().any(Request::owes) && self.owners.flushed();
         now - since >= CLOSE_END || (now - since >= CLOSE_OPEN && clear)
     }
 
-    /// Ends connections that are stuck, and replaced ones on which no offer is out any more.
+    /// Ends connections that are stuck, and the oldest replaced ones on which no offer is out. The latest
+    /// stay: the host may have words under way on them, and closes them itself when they idle.
     fn sweep_hosts(&self, now: Micros) {
         let out_on = |host: &HostId, round| self.requests.values().any(|r| r.out_on(host, round));
         for (host, link) in &self.hosts {
             link.conns().for_each(|conn| conn.end_if_stuck(now, STUCK));
-            for (round, conn) in &link.doubted {
-                if matches!(link.phase, Phase::Up(_)) && !out_on(host, *round) {
+            for (round, conn) in link.doubted.iter().rev().skip(MOST_DOUBTED) {
+                if !out_on(host, *round) {
                     conn.stop(End::Replaced);
                 }
             }
@@ -744,7 +767,7 @@
                     let news = self.give_up(now, ticket, Some(attempt), Outcome::Timeout);
                     news.into_iter().for_each(|news| self.tell(now, news));
                 }
-                Due::Doubt(ticket, attempt) => self.doubt(now, ticket, attempt),
+                Due::Doubt(ticket, attempt) => self.doubt_silent(now, ticket, attempt),
                 Due::Connect(host, round) => {
                     if let Some(Link { phase: Phase::Connecting(stop), round: r, .. }) = self.hosts.get(&host)
                         && *r == round
--- a/src/net/feed.rs
+++ b/src/net/feed.rs
@@ -35,7 +35,7 @@
 /// One subscription, until it ends. Guards against a feed that falls silent on an open connection,
 /// events that come twice, and gaps: each ends it, and the next one resumes after the last event.
 async fn subscribe(conn: Rc<Conn>, last: &mut u64, shared: &Shared) -> End {
-    let now = shared.borrow_mut().clock.now();
+    let now = shared.borrow().clock.now();
     conn.send(now, format!("SUB {last}\n").as_bytes());
     let told = Cell::new(true);
     let take = |inbox: &mut Vec<u8>| {
--- a/src/net/hosts.rs
+++ b/src/net/hosts.rs
@@ -1,10 +1,11 @@
 //! Connections to hosts: one for each, kept open, made again when lost.
 
+use super::codec::feed::Listed;
 use super::codec::{MOST_BYTES, lines, next_line};
 use super::conn::{Conn, End};
 use super::dispatch::Shared;
 use anisehead::facade::Ticket;
-use anisehead::{HostId, HostState, Micros};
+use anisehead::{CellId, HostId, HostState, Micros};
 use async_channel::Sender;
 use async_io::Async;
 use futures_lite::future;
@@ -35,6 +36,8 @@
     pub dial: Option<SocketAddr>,
     /// As the list tells.
     pub state: HostState,
+    /// Its cell: machines of a cell fail together.
+    pub cell: CellId,
     /// When its process started, or 0.
     pub born: Micros,
     /// How far the connection is.
@@ -43,8 +46,9 @@
     pub round: Round,
     /// Connections that were replaced because they fell silent; offers may still be out on them.
     pub doubted: Vec<(Round, Rc<Conn>)>,
-    /// When the host was last heard.
+    /// When the host was last heard, and last called.
     pub heard: Micros,
+    pub dialled: Micros,
     /// Offers that wait for the connection.
     pub waiting: Vec<(Ticket, u32)>,
     /// Releases of tasks that stand there, for the next connection.
@@ -57,15 +61,17 @@
 
 impl Link {
     /// A host that was just listed.
-    pub fn new(dial: Option<SocketAddr>, state: HostState, born: Micros) -> Link {
+    pub fn new(listed: &Listed) -> Link {
         Link {
-            dial,
-            state,
-            born,
+            dial: listed.dial,
+            state: listed.entry.state,
+            cell: listed.entry.cell,
+            born: listed.entry.ready_at,
             phase: Phase::Down,
             round: 0,
             doubted: Vec::new(),
             heard: 0,
+            dialled: 0,
             waiting: Vec::new(),
             unsent: Vec::new(),
             failures: 0,
--- a/src/net/owners.rs
+++ b/src/net/owners.rs
@@ -124,7 +124,7 @@
                 shared.borrow().tasks.spawn(serve(conn, spawned));
             }
             Err(e) => {
-                shared.borrow_mut().note(format_args!("accept failed: {}", e.kind()));
+                shared.borrow().note(format_args!("accept failed: {}", e.kind()));
                 shared.borrow().owners.shed();
                 Timer::after(ACCEPT_PAUSE).await;
             }
--- a/tests/placer.rs
+++ b/tests/placer.rs
@@ -259,6 +259,23 @@
     assert_eq!((end.kind, end.id, end.cause()), (12, 1, 41));
 }
 
+// Found on fleet days: of machines that died together, one with no offer out was missed until the feed told.
+#[test]
+fn when_a_process_is_gone_the_others_of_its_cell_are_called_again() {
+    let (program, _feed, mut hosts, mut conns) = start(2);
+    let mut owner = program.owner();
+    for (id, host) in [(1, "h0"), (2, "h1")] {
+        owner.set_up(id, &Ask { at: Some(host), ..QUICK });
+    }
+    assert!(owner.test());
+    // Nothing listens any more, but only the first connection shows it.
+    hosts.clear();
+    drop(conns.remove(0));
+    let mut lost = [owner.read(), owner.read()].map(|end| (end.id, end.cause()));
+    lost.sort_unstable();
+    assert_eq!(lost, [(1, 41), (2, 41)]);
+}
+
 #[test]
 fn a_release_that_comes_before_the_owner_tells_of_the_task_is_kept_for_it() {
     let (program, _feed, _hosts, mut conns) = start(1);
