--- a/tests/common/peers.rs
+++ b/tests/common/peers.rs
@@ -5,7 +5,7 @@
 use simd_json::prelude::*;
 use simd_json::{OwnedValue, json};
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -22,6 +22,16 @@
     TcpListener::bind("127.0.0.1:0").expect("a free port")
 }
 
+/// An address for the program: on a loopback address of its own, so that no other socket of the tests
+/// takes its port before the program does.
+fn free_address() -> SocketAddr {
+    static NEXT: AtomicU32 = AtomicU32::new(1);
+    let [_, _, high, low] = std::process::id().to_be_bytes();
+    let own = NEXT.fetch_add(1, Ordering::Relaxed) % 100;
+    let ip = Ipv4Addr::new(127, 100 + own as u8, high, low);
+    TcpListener::bind((ip, 0)).and_then(|l| l.local_addr()).expect("a free port")
+}
+
 /// Accepts within the limit.
 fn accept(listener: &TcpListener, limit: Duration) -> Option<TcpStream> {
     listener.set_nonblocking(true).expect("a socket option");
@@ -49,10 +59,15 @@
 }
 
 impl Program {
-    /// Starts it on this configuration, and takes its first test as passed or not.
+    /// Starts it on this configuration.
     pub fn start(config: &OwnedValue) -> Program {
+        Program::start_with(config, 1_024)
+    }
+
+    /// Starts it with so many descriptors.
+    pub fn start_with(config: &OwnedValue, descriptors: u32) -> Program {
         let address = config.get_str("listen").expect("an address").parse().expect("an address");
-        let (child, path) = spawn(&config.encode());
+        let (child, path) = spawn(&config.encode(), descriptors);
         Program { child, config: path, address }
     }
 
@@ -97,12 +112,13 @@
     }
 }
 
-fn spawn(config: &str) -> (Child, PathBuf) {
+fn spawn(config: &str, descriptors: u32) -> (Child, PathBuf) {
     static NEXT: AtomicU32 = AtomicU32::new(0);
     let name = format!("anisehead-{}-{}.json", std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed));
     let path = std::env::temp_dir().join(name);
     std::fs::write(&path, config).expect("a temporary file");
-    let child = Command::new(env!("CARGO_BIN_EXE_anisehead"))
+    let child = Command::new("sh")
+        .args(["-c", &format!("ulimit -n {descriptors}; exec \"$0\""), env!("CARGO_BIN_EXE_anisehead")])
         .env("LB_CONFIG", &path)
         .stderr(Stdio::piped())
         .spawn()
@@ -112,7 +128,7 @@
 
 /// Runs it on a configuration that it must not accept: whether it failed, and what it said.
 pub fn refuses(config: &str) -> (bool, String) {
-    let (child, path) = spawn(config);
+    let (child, path) = spawn(config, 1_024);
     let out = child.wait_with_output().expect("it ends");
     let _ = std::fs::remove_file(path);
     (!out.status.success(), String::from_utf8(out.stderr).expect("text"))
@@ -354,7 +370,7 @@
 /// The configuration of a placer with these hosts: `quick` is safe and spread (2 in a zone), `once`
 /// must never start twice, and a cold host bears 3 offers a second.
 pub fn config(feed: &Feed, hosts: Vec<OwnedValue>) -> OwnedValue {
-    let listen = listen().local_addr().expect("an address").to_string();
+    let listen = free_address().to_string();
     let feed = feed.listener.local_addr().expect("an address").to_string();
     let class = |name: &str, semantics: &str| {
         json!({
--- a/tests/placer.rs
+++ b/tests/placer.rs
@@ -310,6 +310,24 @@
     assert_eq!((owner.read().id, owner.0.peer_addr().is_ok()), (1, true));
 }
 
+#[test]
+fn out_of_descriptors_idle_connections_make_room() {
+    let mut feed = Feed::new();
+    let host = Host::new("h0", "north");
+    let program = Program::start_with(&config(&feed, vec![host.entry("up", 0)]), 32);
+    feed.subscribed();
+    let mut conn = host.accept();
+    let mut busy = program.owner();
+    busy.set_up(1, &QUICK);
+    let id = conn.offer();
+    let idle: Vec<Owner> = (0..60).map(|_| program.owner()).collect();
+    let mut last = program.owner();
+    last.set_up(2, &QUICK);
+    assert_eq!(conn.offer(), hex(2));
+    conn.up(&id);
+    assert_eq!((busy.read().kind, idle.len()), (9, 60), "one with an open set-up stays");
+}
+
 #[test]
 fn bad_owners_end_alone() {
     let (program, _feed, _hosts, mut conns) = start(1);
