--- a/src/net/dispatch.rs
+++ b/src/net/dispatch.rs
@@ -378,8 +378,7 @@
             OwnerWord::SetUp(set_up) => match (&set_up.at, held) {
                 (Some(host), held) => self.adopt(now, id, &set_up, &host.clone(), held),
                 (None, None) => self.set_up(now, owner, id, set_up),
-                // A second answer would break a rule: the one that is owed serves both.
-                (None, Some(_)) => self.note(format_args!("task {id}: set up twice")),
+                (None, Some(ticket)) => self.set_up_again(owner, ticket),
             },
             OwnerWord::BadSetUp(why) => {
                 self.note(format_args!("task {id}: set-up not read: {why}"));
@@ -431,6 +430,19 @@
         }
     }
 
+    /// A set-up that is in hand comes again. A second answer would break a rule: the one that is owed goes
+    /// to the connection heard last. Guards against an owner that sends again because its first
+    /// connection broke, before the break is seen here.
+    fn set_up_again(&mut self, owner: OwnerId, ticket: Ticket) {
+        let Some(request) = self.requests.get_mut(&ticket).filter(|r| r.owes()) else { return };
+        if let Some(before) = request.owner.replace(owner) {
+            self.owners.count(before, false);
+        }
+        self.owners.count(owner, true);
+        let id = request.id;
+        self.note(format_args!("task {id}: set up twice"));
+    }
+
     /// A task that a host holds already. It may be known here, and its release may have come first.
     fn adopt(&mut self, now: Micros, id: TaskId, set_up: &SetUp, host: &HostId, held: Option<Ticket>) {
         if held.is_some() {
--- a/tests/placer.rs
+++ b/tests/placer.rs
@@ -99,6 +99,20 @@
     assert!(away > 0 && away <= 3_000, "{away}");
 }
 
+#[test]
+fn a_set_up_sent_again_on_another_connection_is_answered_there() {
+    let (program, _feed, _hosts, mut conns) = start(1);
+    let (mut first, mut second) = (program.owner(), program.owner());
+    first.set_up(1, &QUICK);
+    let id = conns[0].offer();
+    second.set_up(1, &QUICK);
+    assert!(second.test());
+    drop(first);
+    assert!(second.test());
+    conns[0].up(&id);
+    assert_eq!((second.read().kind, second.test()), (9, true));
+}
+
 #[test]
 fn an_owner_that_gives_up_or_goes_away_is_owed_nothing_and_its_host_is_told() {
     let (program, _feed, _hosts, mut conns) = start(1);
