Answer asks that can't be right before the module; keep owners within a descriptor budget

Checked, by a trace of all words: every ask of a bad client that reached a host on its own got an error, so 'served' came only from set_up_again, which gave the answer to whoever named an open id last. Every accept at the limit failed first and paused 20 ms.

At fault: Dispatch::set_up_again, Dispatch::set_up, OwnerWord::Other and releases of unknown ids dropped in silence, owners::accept, IDLE of 60 s for connections that never spoke, a 16 KiB buffer for each connection.

--- a/src/facade.rs
+++ b/src/facade.rs
@@ -47,9 +47,12 @@
     pub resent: bool,
 }
 
-/// The settings name no such class.
+/// An ask that no deployment with these settings can mean, and why.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct UnknownClass;
+pub struct Unfit(pub &'static str);
+
+/// A wait beyond so many times the class's limit is no wait.
+const MOST_WAIT: Micros = 4;
 
 /// What the caller has learned.
 #[derive(Debug, Clone)]
@@ -154,6 +157,8 @@
 pub struct Facade {
     placer: Placer,
     names: Names,
+    /// Each class's deadline, and the cores and memory of the largest machine for it.
+    most: Vec<(Micros, [f64; 2])>,
     timers: BTreeSet<(Micros, TimerToken)>,
     feed_up: bool,
     /// The module has asked for the list and has no answer yet.
@@ -163,7 +168,16 @@
 impl Facade {
     /// A module with these settings, and the names that they state.
     pub fn new(settings: Settings, names: Names, seed: u64) -> Facade {
+        let most = |class: &Class| {
+            let kinds = settings.kinds.iter().enumerate();
+            let kinds = kinds.filter(|(i, _)| class.kind.is_none_or(|kind| kind.0 == *i));
+            let size = kinds.map(|(_, kind)| {
+                [kind.cores * settings.accepts_cores, kind.memory * settings.accepts_memory]
+            });
+            (class.deadline, size.fold([0.0; 2], |a, b| [f64::max(a[0], b[0]), f64::max(a[1], b[1])]))
+        };
         Facade {
+            most: settings.classes.iter().map(most).collect(),
             placer: Placer::new(settings, seed),
             names,
             timers: BTreeSet::new(),
@@ -178,7 +192,7 @@
     }
 
     /// Takes a task to place.
-    pub fn pick(&mut self, now: Micros, ticket: Ticket, ask: &Ask) -> Result<Vec<Verdict>, UnknownClass> {
+    pub fn pick(&mut self, now: Micros, ticket: Ticket, ask: &Ask) -> Result<Vec<Verdict>, Unfit> {
         let event = Event::Request(self.task(ticket, ask)?);
         Ok(self.give(now, event))
     }
@@ -190,7 +204,7 @@
         ticket: Ticket,
         ask: &Ask,
         host: &HostId,
-    ) -> Result<Vec<Verdict>, UnknownClass> {
+    ) -> Result<Vec<Verdict>, Unfit> {
         let event = Event::Open(self.task(ticket, ask)?, host.clone());
         Ok(self.give(now, event))
     }
@@ -247,11 +261,33 @@
         verdicts
     }
 
-    fn task(&self, ticket: Ticket, ask: &Ask) -> Result<Task, UnknownClass> {
+    /// Whether the settings leave any sense to an ask. Guards the module's picture of load and of healthy
+    /// machines against asks that every machine must turn away. One that stands already waits for nothing.
+    pub fn check(&self, ask: &Ask, stands: bool) -> Result<(), Unfit> {
+        let class = self.names.classes.iter().position(|n| *n == ask.class);
+        let Some((deadline, size)) = class.and_then(|class| self.most.get(class)) else {
+            return Err(Unfit("unknown class"));
+        };
+        let tenant = ask.tenant.as_ref().is_none_or(|tenant| self.names.tenants.contains(tenant));
+        if !tenant && !self.names.tenants.is_empty() {
+            return Err(Unfit("unknown tenant"));
+        }
+        // Twice the size: kinds state what is usual, and a machine may be larger.
+        let mut asks = [ask.cores, ask.memory].into_iter().zip(size);
+        if asks.any(|(asked, most)| !(0.0..=2.0 * most).contains(&asked)) {
+            return Err(Unfit("more than any machine has"));
+        }
+        if !stands && (ask.budget <= 0 || ask.budget > deadline.saturating_mul(MOST_WAIT)) {
+            return Err(Unfit("no such wait"));
+        }
+        Ok(())
+    }
+
+    fn task(&self, ticket: Ticket, ask: &Ask) -> Result<Task, Unfit> {
         let place = |names: &[String], name: &str| names.iter().position(|n| n == name);
         Ok(Task {
             id: ticket.id(),
-            class: place(&self.names.classes, &ask.class).map(ClassId).ok_or(UnknownClass)?,
+            class: place(&self.names.classes, &ask.class).map(ClassId).ok_or(Unfit("unknown class"))?,
             service: ServiceId(ask.service),
             key: TaskKey(ask.key),
             tenant: ask.tenant.as_deref().and_then(|t| place(&self.names.tenants, t)).map(TenantId),
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -1,8 +1,10 @@
 //! The placer's configuration: one JSON file, named by `LB_CONFIG`.
 
 use super::codec::feed::{self, FeedLine};
+use super::codec::lines::number;
 use anisehead::Settings;
 use anisehead::settings::{self, Names};
+use simd_json::BorrowedValue;
 use simd_json::prelude::*;
 use std::fmt;
 use std::net::SocketAddr;
@@ -25,6 +27,28 @@
     pub known_to: u64,
     /// The feed's events until then.
     pub known: Vec<FeedLine>,
+    /// What the process may hold.
+    pub limits: Limits,
+}
+
+/// What the process may hold. Without a word on it, what the deployment's smallest machines have.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Limits {
+    /// Descriptors.
+    pub sockets: usize,
+    /// Bytes of memory.
+    pub memory: usize,
+}
+
+impl Limits {
+    fn read(value: Option<&BorrowedValue<'_>>) -> Limits {
+        let stated = |field: &str| value.and_then(|v| v.get(field)).and_then(number).filter(|v| *v >= 1.0);
+        let megabytes = stated("memory_mb").unwrap_or(32.0);
+        Limits {
+            sockets: stated("sockets").unwrap_or(256.0) as usize,
+            memory: (megabytes * 1_048_576.0) as usize,
+        }
+    }
 }
 
 /// A field of the configuration that is missing or can't be read.
@@ -75,5 +99,6 @@
         names,
         known_to,
         known,
+        limits: Limits::read(value.get("limits")),
     })
 }
--- a/src/net/conn.rs
+++ b/src/net/conn.rs
@@ -3,16 +3,33 @@
 use super::codec::Malformed;
 use anisehead::Micros;
 use async_channel::{Receiver, Sender};
-use async_io::Async;
-use futures_lite::{AsyncReadExt, future};
+use async_io::{Async, Timer};
+use futures_lite::future;
 use std::cell::{Cell, RefCell};
 use std::fmt;
-use std::io::{self, ErrorKind, Write};
-use std::net::TcpStream;
+use std::io::{self, ErrorKind, Read, Write};
+use std::net::{Shutdown, TcpStream};
+use std::time::Duration;
 
 /// Bytes that may wait for a peer that reads slowly.
 const MOST_QUEUED: usize = 256 * 1024;
 const CHUNK: usize = 16 * 1024;
+/// What is read off a connection after our end of it, and for how long.
+const MOST_LINGER: usize = 128 * 1024 * 1024;
+const LINGER: Duration = Duration::from_millis(1_000);
+
+thread_local! {
+    /// Where all connections read to. One for each would be the most of what an idle connection holds.
+    static SCRATCH: RefCell<Vec<u8>> = RefCell::new(vec![0; CHUNK]);
+    /// Bytes queued on all connections, and how many may be.
+    static QUEUED: Cell<usize> = const { Cell::new(0) };
+    static MOST_QUEUED_IN_ALL: Cell<usize> = const { Cell::new(8 * 1024 * 1024) };
+}
+
+/// Sets how many bytes may be queued on all connections together.
+pub fn bound_queues(bytes: usize) {
+    MOST_QUEUED_IN_ALL.set(bytes);
+}
 
 /// Why a connection ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -39,6 +56,12 @@
     Replaced,
     /// The feed's numbers leave a gap.
     Gap,
+    /// The peer never said a whole message, or left one unfinished.
+    Unspoken,
+    /// Its descriptor is needed for another.
+    Crowded,
+    /// A set-up under the id of another that is open.
+    IdInUse,
 }
 
 impl fmt::Display for End {
@@ -55,6 +78,9 @@
             End::Replaced => write!(f, "replaced"),
             End::Silent => write!(f, "silent"),
             End::Gap => write!(f, "gap"),
+            End::Unspoken => write!(f, "unspoken"),
+            End::Crowded => write!(f, "crowded"),
+            End::IdInUse => write!(f, "id-in-use"),
         }
     }
 }
@@ -116,7 +142,9 @@
         if rest.is_empty() {
             return true;
         }
-        if queue.len() + rest.len() > MOST_QUEUED {
+        // Guards against many slow readers that each stay within their own bound.
+        let all = QUEUED.get() + rest.len();
+        if queue.len() + rest.len() > MOST_QUEUED || all > MOST_QUEUED_IN_ALL.get() {
             self.stop(End::QueueFull);
             return rest.len() < bytes.len();
         }
@@ -124,6 +152,7 @@
             self.stuck_since.set(now);
         }
         queue.extend_from_slice(rest);
+        QUEUED.set(all);
         let _ = self.wake.0.try_send(());
         true
     }
@@ -163,22 +192,65 @@
 
     async fn read(&self, mut take: impl FnMut(&mut Vec<u8>) -> Result<(), End>) -> End {
         let mut inbox = Vec::new();
-        let mut chunk = vec![0; CHUNK];
         loop {
-            let count = match (&self.stream).read(&mut chunk).await {
+            match self.read_some(&mut inbox).await {
                 Ok(0) => return self.end.get().unwrap_or(End::Closed),
-                Ok(count) => count,
+                Ok(_) => {}
                 Err(e) => return self.end.get().unwrap_or(e.into()),
             };
-            inbox.extend_from_slice(chunk.get(..count).unwrap_or_default());
             if let Err(end) = take(&mut inbox) {
                 return end;
             }
+            if inbox.is_empty() {
+                inbox = Vec::new();
+            }
             // A peer that sends without pause does not keep the thread to itself.
             future::yield_now().await;
         }
     }
 
+    /// Appends what has come in, at most a chunk.
+    async fn read_some(&self, inbox: &mut Vec<u8>) -> io::Result<usize> {
+        loop {
+            let read: io::Result<usize> = SCRATCH.with_borrow_mut(|chunk| {
+                let count = self.stream.get_ref().read(chunk)?;
+                inbox.extend_from_slice(chunk.get(..count).unwrap_or_default());
+                Ok(count)
+            });
+            match read {
+                Err(e) if e.kind() == ErrorKind::WouldBlock => self.stream.readable().await?,
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                read => return read,
+            }
+        }
+    }
+
+    /// Ends our side after the last word and reads off what still comes, for a bounded time. Guards
+    /// against the reset that closing with unread input would send: it can take the word along.
+    pub async fn linger(&self) {
+        let read_off = async {
+            while !self.queue.borrow().is_empty() {
+                if self.stream.writable().await.and_then(|()| self.flush()).is_err() {
+                    return;
+                }
+            }
+            let _ = self.stream.get_ref().shutdown(Shutdown::Write);
+            let (mut inbox, mut count) = (Vec::new(), 0);
+            while let Ok(n) = self.read_some(&mut inbox).await {
+                count += n;
+                if n == 0 || count > MOST_LINGER {
+                    return;
+                }
+                inbox.clear();
+                future::yield_now().await;
+            }
+        };
+        let limit = async {
+            Timer::after(LINGER).await;
+        };
+        future::or(read_off, limit).await;
+    }
+
     async fn write(&self) -> End {
         loop {
             if let Some(end) = self.end.get() {
@@ -206,6 +278,7 @@
                 Ok(n) => {
                     let taken = n.min(queue.len());
                     queue.drain(..taken);
+                    QUEUED.set(QUEUED.get().saturating_sub(taken));
                     self.progress.set(true);
                 }
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
@@ -217,6 +290,12 @@
     }
 }
 
+impl Drop for Conn {
+    fn drop(&mut self) {
+        QUEUED.set(QUEUED.get().saturating_sub(self.queue.borrow().len()));
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/src/net/dispatch.rs
+++ b/src/net/dispatch.rs
@@ -7,14 +7,14 @@
 use super::codec::binary::{self, OwnerWord};
 use super::codec::feed::{FeedLine, Listed};
 use super::codec::lines::{self, HostWord};
-use super::codec::{SetUp, TaskId, cause};
+use super::codec::{Malformed, SetUp, TaskId, cause};
 use super::config::Config;
-use super::conn::{Conn, End};
+use super::conn::{self, Conn, End};
 use super::hosts::{self, Link, Phase, Round, Unmade};
 use super::log;
 use super::owners::{OwnerId, Owners, STUCK};
 use super::wheel::Wheel;
-use anisehead::facade::{Facade, News, Ticket, Verdict};
+use anisehead::facade::{Facade, News, Ticket, Unfit, Verdict};
 use anisehead::settings::Names;
 use anisehead::{Detail, HostId, HostState, Micros, Outcome};
 use async_executor::LocalExecutor;
@@ -27,7 +27,7 @@
 /// An owner's time runs from when it sent: what the way here, a tick and the way back may take.
 const OWNER_SLACK: Micros = 15 * MILLI;
 /// How often connections are looked through.
-const SWEEP: Micros = 1_000 * MILLI;
+const SWEEP: Micros = 250 * MILLI;
 /// After SIGTERM: how long new work may still arrive, by when all is answered, and the end at last.
 const CLOSE_OPEN: Micros = 1_000 * MILLI;
 const CLOSE_ANSWER: Micros = 3_300 * MILLI;
@@ -40,8 +40,12 @@
 const MOST_DOUBTED: usize = 3;
 /// How long a host may take to confirm a release.
 const LEAVING: Micros = 3_000 * MILLI;
-/// How long a release of a task not yet known is kept.
-const ORPHAN: Micros = 10_000 * MILLI;
+/// How long the list may be late to name a host at which a task is said to stand.
+const UNLISTED: Micros = 2_000 * MILLI;
+/// How long the end of a task is remembered.
+const ENDED: Micros = 10_000 * MILLI;
+/// The part of the memory that queues may fill.
+const QUEUES: usize = 6;
 
 /// The shared dispatch.
 pub type Shared = Rc<RefCell<Dispatch>>;
@@ -71,6 +75,7 @@
     Connect(HostId, Round),
     Redial(HostId, Round),
     Left(Ticket),
+    Unlisted(Ticket),
     Sweep,
 }
 
@@ -96,11 +101,11 @@
     state: State,
 }
 
-/// A host's release of a task that is not known here, kept for a set-up with `at` that still comes.
-struct Orphan {
-    host: HostId,
-    cause: u8,
-    detail: Detail,
+/// A task that is over: its host has released it, or it was answered. Kept for a set-up with `at` that
+/// still comes, and against one that uses its id again.
+struct Ended {
+    /// The host that released it, and its cause.
+    by: Option<(HostId, u8, Detail)>,
     since: Micros,
 }
 
@@ -115,7 +120,7 @@
     hosts: BTreeMap<HostId, Link>,
     requests: BTreeMap<Ticket, Request>,
     by_id: BTreeMap<TaskId, Ticket>,
-    orphans: BTreeMap<TaskId, Orphan>,
+    ended: BTreeMap<TaskId, Ended>,
     next: u64,
     connect_timeout: Micros,
     known: Vec<FeedLine>,
@@ -129,17 +134,18 @@
         let clock = Clock::default();
         let now = clock.now();
         let connect_timeout = config.settings.connect_timeout;
+        conn::bound_queues(config.limits.memory / QUEUES);
         Dispatch {
             clock,
             tasks,
-            owners: Owners::default(),
+            owners: Owners::new(config.limits.sockets),
             name: config.name,
             facade: Facade::new(config.settings, config.names, config.seed),
             wheel: Wheel::new(now),
             hosts: BTreeMap::new(),
             requests: BTreeMap::new(),
             by_id: BTreeMap::new(),
-            orphans: BTreeMap::new(),
+            ended: BTreeMap::new(),
             next: 0,
             connect_timeout,
             known: config.known,
@@ -289,6 +295,8 @@
         let request = self.requests.remove(&ticket)?;
         if self.by_id.get(&request.id) == Some(&ticket) {
             self.by_id.remove(&request.id);
+            let since = self.clock.now();
+            self.ended.entry(request.id).or_insert(Ended { by: None, since }).since = since;
         }
         Some(request)
     }
@@ -298,7 +306,7 @@
         let Some(request) = self.requests.get(&ticket) else { return };
         if matches!(request.state, State::Standing { .. }) {
             let word = binary::moved(request.id);
-            self.owners.send_any(now, word);
+            self.owners.send_any(now, request.id, word);
             self.leave(now, ticket, cause::CANCELLED);
         }
     }
@@ -318,12 +326,28 @@
         self.wheel.add(now + LEAVING, Due::Left(ticket));
     }
 
+    /// Guards against tasks named at hosts that no list knows: they would stand for ever.
+    fn end_unlisted(&mut self, now: Micros, ticket: Ticket) {
+        let Some(request) = self.requests.get(&ticket) else { return };
+        let State::Standing { attempt, host, since } = &request.state else { return };
+        if self.hosts.contains_key(host) {
+            return;
+        }
+        let (attempt, host, elapsed, outcome) = (*attempt, host.clone(), now - since, Outcome::Reset);
+        self.note(format_args!("task {}: does not stand: no host {}", request.id, host.0));
+        if let Some(owner) = request.owner {
+            self.owners.send(now, owner, &binary::release(request.id, cause::RESET, None));
+        }
+        self.remove(ticket);
+        self.tell(now, News::Ended { ticket, attempt, host, outcome, detail: Detail::None, elapsed });
+    }
+
     /// What stood is over: its owner is told, unless it ended the task itself.
     fn end_standing(&mut self, now: Micros, ticket: Ticket, cause: u8, detail: Detail) {
         let Some(request) = self.remove(ticket) else { return };
         let (attempt, host, since, outcome) = match request.state {
             State::Standing { attempt, host, since } => {
-                self.owners.send_any(now, binary::release(request.id, cause, None));
+                self.owners.send_any(now, request.id, binary::release(request.id, cause, None));
                 let outcome = match cause {
                     cause::NORMAL => Outcome::Ok,
                     cause::CANCELLED => Outcome::Cancelled,
@@ -348,7 +372,7 @@
     /// It has ended, and with it the set-ups that are open on it.
     pub fn owner_ended(&mut self, owner: OwnerId, end: End) {
         let now = self.clock.now();
-        self.owners.ended(owner);
+        self.owners.ended(now, owner);
         let theirs = self.requests.iter().filter(|(_, r)| r.owner == Some(owner));
         let open: Vec<Ticket> = theirs.filter(|(_, r)| r.owes()).map(|(ticket, _)| *ticket).collect();
         self.note(format_args!("owner connection {owner} ended: {end}, {} set-ups open", open.len()));
@@ -369,36 +393,49 @@
         }
     }
 
-    /// A message of an owner.
+    /// Whole messages came in on a connection of an owner, and whether half of another did.
+    pub fn owner_heard(&mut self, owner: OwnerId, whole: bool, half: bool) {
+        let now = self.clock.now();
+        self.owners.heard(now, owner, whole, half);
+    }
+
+    /// A message of an owner. Each is answered, or ends its connection, or asks for nothing: whoever
+    /// sends what is no use is not left waiting.
     pub fn owner_word(&mut self, owner: OwnerId, id: TaskId, word: OwnerWord) {
         let now = self.clock.now();
-        self.owners.heard(now, owner);
+        self.owners.heard(now, owner, true, false);
         let held = self.by_id.get(&id).copied();
         match word {
             OwnerWord::SetUp(set_up) => match (&set_up.at, held) {
-                (Some(host), held) => self.adopt(now, id, &set_up, &host.clone(), held),
+                (Some(host), None) => self.adopt(now, owner, id, &set_up, &host.clone()),
                 (None, None) => self.set_up(now, owner, id, set_up),
-                (None, Some(ticket)) => self.set_up_again(owner, ticket),
+                (_, Some(ticket)) => self.set_up_again(owner, ticket, &set_up),
             },
-            OwnerWord::BadSetUp(why) => {
+            OwnerWord::BadSetUp(why) if held.is_none() => {
                 self.note(format_args!("task {id}: set-up not read: {why}"));
-                if held.is_none() {
-                    self.owners.send(now, owner, &binary::release(id, cause::FAILED, None));
-                }
-            }
-            OwnerWord::Release(cause) => {
-                let Some(ticket) = held else { return };
-                if self.requests.get(&ticket).is_some_and(Request::owes) {
-                    return self.gone(now, ticket);
-                }
-                self.owners.send(now, owner, &binary::heard(id));
-                self.leave(now, ticket, cause);
+                self.owners.send(now, owner, &binary::release(id, cause::FAILED, None));
             }
+            // A failure under this id could be taken for the answer to the one that is open.
+            OwnerWord::BadSetUp(_) => self.owners.stop(owner, End::IdInUse),
+            OwnerWord::Release(cause) => self.owner_release(now, owner, id, cause, held),
             OwnerWord::Test => {
                 self.owners.send(now, owner, &binary::tested(id, self.closing.is_none()));
             }
-            OwnerWord::Heard | OwnerWord::Other => {}
+            OwnerWord::Heard => self.owners.heard_end(id),
+            OwnerWord::Other => self.owners.stop(owner, End::Malformed(Malformed::Field("type"))),
+        }
+    }
+
+    /// An owner gives a set-up up, on its connection, or ends a task that stands, on any.
+    fn owner_release(&mut self, now: Micros, owner: OwnerId, id: TaskId, cause: u8, held: Option<Ticket>) {
+        let open = held.and_then(|ticket| self.requests.get(&ticket)).filter(|r| r.owes());
+        match (held, open.map(|r| r.owner == Some(owner))) {
+            (Some(ticket), Some(true)) => return self.gone(now, ticket),
+            (Some(ticket), None) => self.leave(now, ticket, cause),
+            // Of no task here, or of another's set-up: it changes nothing.
+            _ => {}
         }
+        self.owners.send(now, owner, &binary::heard(id));
     }
 
     fn take(&mut self, id: TaskId, owner: Option<OwnerId>, state: State) -> Ticket {
@@ -409,11 +446,21 @@
         ticket
     }
 
+    /// Guards the module and the hosts against asks that can't be right, which are answered at once:
+    /// without an id, or with that of a task that is over, a host takes its connection for broken, and
+    /// answers an error that makes it look so; every ask counts as load.
     fn set_up(&mut self, now: Micros, owner: OwnerId, id: TaskId, set_up: Box<SetUp>) {
         let mut ask = set_up.ask.clone();
         ask.budget = (set_up.wait - OWNER_SLACK).max(0);
-        if offer_line(id, &set_up, set_up.wait).is_none() {
-            self.note(format_args!("task {id}: too long for a host"));
+        let unfit = match self.facade.check(&ask, false) {
+            Err(Unfit(why)) => Some(why),
+            Ok(()) if id == TaskId(0) => Some("no id"),
+            Ok(()) if self.ended.contains_key(&id) => Some("id used before"),
+            Ok(()) if offer_line(id, &set_up, set_up.wait).is_none() => Some("too long for a host"),
+            Ok(()) => None,
+        };
+        if let Some(why) = unfit {
+            self.note(format_args!("task {id}: not placed: {why}"));
             return self.owners.send(now, owner, &binary::release(id, cause::FAILED, None));
         }
         let ticket = self.take(id, Some(owner), State::Held);
@@ -421,20 +468,26 @@
         if let Some(request) = self.requests.get_mut(&ticket) {
             request.set_up = Some(set_up);
         }
-        match self.facade.pick(now, ticket, &ask) {
-            Ok(verdicts) => self.carry_out(now, verdicts),
-            Err(_) => {
-                self.note(format_args!("task {id}: unknown class"));
-                self.answer(now, ticket, |id| binary::release(id, cause::FAILED, None));
-            }
-        }
+        let verdicts = self.facade.pick(now, ticket, &ask).unwrap_or_default();
+        self.carry_out(now, verdicts);
     }
 
-    /// A set-up that is in hand comes again. A second answer would break a rule: the one that is owed goes
-    /// to the connection heard last. Guards against an owner that sends again because its first
-    /// connection broke, before the break is seen here.
-    fn set_up_again(&mut self, owner: OwnerId, ticket: Ticket) {
-        let Some(request) = self.requests.get_mut(&ticket).filter(|r| r.owes()) else { return };
+    /// A set-up under an id that is in hand. Guards against an owner that sends again because its first
+    /// connection broke, before the break is seen here: a second answer would break a rule, so the one
+    /// that is owed goes to the connection heard last. Guards also against whoever sends another set-up
+    /// under an id that is open, or the same twice on one connection: its connection ends, and an answer
+    /// that another is owed does not go there.
+    fn set_up_again(&mut self, owner: OwnerId, ticket: Ticket, set_up: &SetUp) {
+        let Some(request) = self.requests.get_mut(&ticket) else { return };
+        let known = matches!((&request.state, &set_up.at),
+            (State::Standing { host, .. } | State::Leaving { host, .. }, Some(at)) if host == at);
+        if known {
+            return;
+        }
+        let same = request.set_up.as_deref() == Some(set_up) && request.owner != Some(owner);
+        if !same {
+            return self.owners.stop(owner, End::IdInUse);
+        }
         if let Some(before) = request.owner.replace(owner) {
             self.owners.count(before, false);
         }
@@ -443,27 +496,42 @@
         self.note(format_args!("task {id}: set up twice"));
     }
 
-    /// A task that a host holds already. It may be known here, and its release may have come first.
-    fn adopt(&mut self, now: Micros, id: TaskId, set_up: &SetUp, host: &HostId, held: Option<Ticket>) {
-        if held.is_some() {
-            return;
+    /// A task that a host holds already. Its release may have come first. The list may be late to name
+    /// its host: it gets a while for that.
+    fn adopt(&mut self, now: Micros, owner: OwnerId, id: TaskId, set_up: &SetUp, host: &HostId) {
+        let unfit = match self.facade.check(&set_up.ask, true) {
+            Err(Unfit(why)) => Some(why),
+            Ok(()) if id == TaskId(0) => Some("no id"),
+            Ok(()) => None,
+        };
+        // Guards against a release that came on our new connection before the owner told of the task.
+        let over = match self.ended.get(&id) {
+            Some(Ended { by: Some((by, cause, _)), .. }) if by == host => Some(*cause),
+            _ if self.hosts.get(host).is_some_and(|l| l.state == HostState::Gone) => Some(cause::RESET),
+            _ => None,
+        };
+        if let Some(cause) = over.or(unfit.map(|_| cause::RESET)) {
+            self.note(format_args!("task {id}: does not stand: {}", unfit.unwrap_or("released")));
+            return self.owners.send(now, owner, &binary::release(id, cause, None));
         }
         let state = State::Standing { attempt: 0, host: host.clone(), since: now };
-        let ticket = self.take(id, None, state);
-        match self.facade.adopt(now, ticket, &set_up.ask, host) {
-            Ok(verdicts) => self.carry_out(now, verdicts),
-            Err(_) => self.note(format_args!("task {id}: unknown class, stands at {}", host.0)),
-        }
-        // Guards against a release that came on our new connection before the owner told of the task.
-        if let Some(orphan) = self.orphans.remove(&id).filter(|orphan| orphan.host == *host) {
-            self.end_standing(now, ticket, orphan.cause, orphan.detail);
-        } else if self.hosts.get(host).is_some_and(|link| link.state == HostState::Gone) {
-            self.end_standing(now, ticket, cause::RESET, Detail::None);
+        let ticket = self.take(id, Some(owner), state);
+        if self.hosts.contains_key(host) {
+            self.owners.prove(owner);
+        } else {
+            self.wheel.add(now + UNLISTED, Due::Unlisted(ticket));
         }
+        let verdicts = self.facade.adopt(now, ticket, &set_up.ask, host).unwrap_or_default();
+        self.carry_out(now, verdicts);
     }
 
     // ---- Hosts ----
 
+    /// Hosts that may have connections.
+    pub fn hosts_in_use(&self) -> usize {
+        self.hosts.values().filter(|link| link.state != HostState::Gone).count()
+    }
+
     /// News of the list. Tasks at what is gone, or at a process that started after them, are lost.
     pub fn listed(&mut self, whole: bool, hosts: Vec<Listed>) {
         let now = self.clock.now();
@@ -668,7 +736,7 @@
         let Some((ticket, request)) = known else {
             if let HostWord::Down(cause, detail) = word {
                 self.heard(now, host, id);
-                self.orphans.insert(id, Orphan { host: host.clone(), cause, detail, since: now });
+                self.ended.insert(id, Ended { by: Some((host.clone(), cause, detail)), since: now });
             }
             return;
         };
@@ -680,6 +748,7 @@
                 if let Some(owner) = request.owner.take() {
                     self.owners.send(now, owner, &binary::answer(id, &description));
                     self.owners.count(owner, false);
+                    self.owners.prove(owner);
                 }
                 self.tell(now, News::Placed { ticket, attempt, host: host.clone(), elapsed });
             }
@@ -809,10 +878,11 @@
                         self.end_standing(now, ticket, cause::CANCELLED, Detail::None);
                     }
                 }
+                Due::Unlisted(ticket) => self.end_unlisted(now, ticket),
                 Due::Sweep => {
                     self.owners.sweep(now);
                     self.sweep_hosts(now);
-                    self.orphans.retain(|_, orphan| now - orphan.since < ORPHAN);
+                    self.ended.retain(|_, ended| now - ended.since < ENDED);
                     self.wheel.add(now + SWEEP, Due::Sweep);
                 }
             }
--- a/src/net/owners.rs
+++ b/src/net/owners.rs
@@ -1,10 +1,11 @@
 //! Connections from owners: accepting, reading, and where a task's end is told.
 
-use super::codec::binary;
+use super::codec::{TaskId, binary};
 use super::conn::{Conn, End};
 use super::dispatch::Shared;
 use anisehead::Micros;
 use async_io::{Async, Timer};
+use futures_lite::future;
 use std::collections::BTreeMap;
 use std::net::TcpListener;
 use std::rc::Rc;
@@ -12,10 +13,21 @@
 
 /// A silent connection that carries no open set-up is closed after this.
 const IDLE: Micros = 60_000_000;
+/// How long a connection may go without a whole message, from its start or from half of one on.
+const UNSPOKEN: Micros = 2_200_000;
+/// A connection this young may still be waiting for its first message: it is not the first to make room.
+const YOUNG: Micros = 100_000;
 /// How long a peer may take nothing from its queue.
 pub const STUCK: Micros = 5_000_000;
-/// Pause after a failed accept.
+/// How long a word on a task that stood is kept for the case that its connection ends unread.
+const UNHEARD: Micros = 10_000_000;
+/// Pause after a failed accept, where nothing could make room.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// Descriptors that the process holds whatever happens: the listener, the reactor, signals, the log,
+/// two connections to feeds, and some that are on their way.
+const OWN_DESCRIPTORS: usize = 24;
+/// Descriptors set apart for each host: its connection, one beside it, and one that is ending.
+const A_HOST: usize = 3;
 
 /// Numbers a connection for the life of the process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -32,36 +44,88 @@
     /// Set-ups on it that wait for their answer.
     open: usize,
     heard: Micros,
+    /// Since when a whole message is awaited: from the start, or since half of one came.
+    half_since: Option<Micros>,
+    /// A whole message has come.
+    spoken: bool,
+    /// A task stands that was set up or named on it.
+    proven: bool,
+}
+
+/// The end of a task as it was told, until its owner has heard it.
+struct Told {
+    owner: OwnerId,
+    bytes: Vec<u8>,
+    since: Micros,
 }
 
 /// All connections from owners.
-#[derive(Default)]
 pub struct Owners {
     all: BTreeMap<OwnerId, Owner>,
     next: u64,
-    /// Words on tasks that stand, for the next connection to open.
-    unsent: Vec<Vec<u8>>,
+    /// Words on tasks that stood, for the next connection to open.
+    unsent: Vec<(TaskId, Vec<u8>)>,
+    /// The same, sent and not heard yet.
+    told: BTreeMap<TaskId, Told>,
+    /// Descriptors of the whole process.
+    sockets: usize,
+    /// Connections that read off what still comes.
+    lingering: usize,
 }
 
 impl Owners {
+    /// Connections within so many descriptors of the whole process.
+    pub fn new(sockets: usize) -> Owners {
+        let (all, told) = (BTreeMap::new(), BTreeMap::new());
+        Owners { all, next: 0, unsent: Vec::new(), told, sockets, lingering: 0 }
+    }
+
     /// Takes in a connection, and tells it what found no other.
     pub fn opened(&mut self, now: Micros, conn: Rc<Conn>) -> OwnerId {
         let id = OwnerId(self.next);
         self.next += 1;
-        self.unsent.retain(|bytes| !conn.send(now, bytes));
-        self.all.insert(id, Owner { conn, open: 0, heard: now });
+        let (half_since, spoken, proven) = (Some(now), false, false);
+        self.all.insert(id, Owner { conn, open: 0, heard: now, half_since, spoken, proven });
+        for (task, bytes) in std::mem::take(&mut self.unsent) {
+            self.send_any(now, task, bytes);
+        }
         id
     }
 
-    /// Forgets a connection that has ended.
-    pub fn ended(&mut self, id: OwnerId) {
+    /// Forgets a connection that has ended. Guards against the end of a task that was written to it and
+    /// not heard: it is told again on another.
+    pub fn ended(&mut self, now: Micros, id: OwnerId) {
         self.all.remove(&id);
+        let unheard: Vec<TaskId> = self.told.iter().filter(|(_, t)| t.owner == id).map(|(k, _)| *k).collect();
+        for task in unheard {
+            if let Some(told) = self.told.remove(&task) {
+                self.send_any(now, task, told.bytes);
+            }
+        }
     }
 
-    /// Something came in on it.
-    pub fn heard(&mut self, now: Micros, id: OwnerId) {
+    /// Whole messages came in on it, and whether half of another did.
+    pub fn heard(&mut self, now: Micros, id: OwnerId, whole: bool, half: bool) {
         if let Some(owner) = self.all.get_mut(&id) {
-            owner.heard = now;
+            if whole {
+                (owner.heard, owner.spoken) = (now, true);
+            }
+            owner.half_since = match owner.half_since {
+                Some(since) if half && !whole => Some(since),
+                _ => half.then_some(now),
+            };
+        }
+    }
+
+    /// The owner has heard the end of this task.
+    pub fn heard_end(&mut self, task: TaskId) {
+        self.told.remove(&task);
+    }
+
+    /// A task that was set up or named on it stands.
+    pub fn prove(&mut self, id: OwnerId) {
+        if let Some(owner) = self.all.get_mut(&id) {
+            owner.proven = true;
         }
     }
 
@@ -79,36 +143,58 @@
         }
     }
 
-    /// Writes what concerns a task that stands. It belongs to no connection: the one heard last is the
-    /// least likely to be closing under our hands; with none open the next to open is told.
-    pub fn send_any(&mut self, now: Micros, bytes: Vec<u8>) {
+    /// Ends one connection.
+    pub fn stop(&self, id: OwnerId, end: End) {
+        if let Some(owner) = self.all.get(&id) {
+            owner.conn.stop(end);
+        }
+    }
+
+    /// Writes what concerns a task that stood. It belongs to no connection: of those that have had tasks
+    /// placed, the one heard last is the least likely to be closing under our hands, or to be no owner at
+    /// all. With none open the next to open is told.
+    pub fn send_any(&mut self, now: Micros, task: TaskId, bytes: Vec<u8>) {
         loop {
-            let live = self.all.values().filter(|o| !o.conn.stopping());
-            match live.max_by_key(|o| (o.open > 0, o.heard)) {
-                None => return self.unsent.push(bytes),
-                Some(owner) if owner.conn.send(now, &bytes) => return,
+            let live = self.all.iter().filter(|(_, o)| !o.conn.stopping() && (o.spoken || o.heard == now));
+            match live.max_by_key(|(_, o)| (o.proven, o.open > 0, o.heard)) {
+                None => return self.unsent.push((task, bytes)),
+                Some((id, owner)) if owner.conn.send(now, &bytes) => {
+                    self.told.insert(task, Told { owner: *id, bytes, since: now });
+                    return;
+                }
                 // It has ended under the write, and no byte has left.
                 Some(_) => {}
             }
         }
     }
 
-    /// Closes what is stuck or long idle.
-    pub fn sweep(&self, now: Micros) {
+    /// Closes what is stuck, long idle, or owed a word because it never says a whole message.
+    pub fn sweep(&mut self, now: Micros) {
         for owner in self.all.values() {
             owner.conn.end_if_stuck(now, STUCK);
             if owner.open == 0 && now - owner.heard > IDLE {
                 owner.conn.stop(End::Idle);
             }
+            if owner.open == 0 && owner.half_since.is_some_and(|since| now - since > UNSPOKEN) {
+                owner.conn.stop(End::Unspoken);
+            }
         }
+        self.told.retain(|_, told| now - told.since < UNHEARD);
     }
 
-    /// Makes room for another connection: the longest idle one that carries no open set-up goes.
-    fn shed(&self) {
+    /// Makes room for another connection: one that has said nothing goes before the longest idle one;
+    /// none with an open set-up does. False where there is none to close.
+    fn shed(&self, now: Micros) -> bool {
         let idle = self.all.values().filter(|o| o.open == 0 && !o.conn.stopping());
-        if let Some(owner) = idle.min_by_key(|o| o.heard) {
-            owner.conn.stop(End::Idle);
-        }
+        let first = idle.min_by_key(|o| (o.spoken || now - o.heard < YOUNG, o.proven, o.heard));
+        first.map(|owner| owner.conn.stop(End::Crowded)).is_some()
+    }
+
+    /// Whether another connection is within the budget. Hosts and the feed have theirs first.
+    fn crowded(&self, hosts: usize) -> bool {
+        let budget = self.sockets.saturating_sub(OWN_DESCRIPTORS + A_HOST * hosts).max(4);
+        let live = self.all.values().filter(|o| !o.conn.stopping()).count();
+        live + self.lingering >= budget
     }
 
     /// Whether all that was sent is on its way.
@@ -123,16 +209,28 @@
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
+                let dispatch = shared.borrow();
+                if dispatch.owners.crowded(dispatch.hosts_in_use()) {
+                    let now = dispatch.clock.now();
+                    if !dispatch.owners.shed(now) {
+                        // All are busy: this one is closed with nothing taken on it.
+                        dispatch.note(format_args!("owner connection turned away: {}", End::Crowded));
+                        continue;
+                    }
+                }
                 let conn = Rc::new(Conn::new(stream));
-                let spawned = shared.clone();
-                shared.borrow().tasks.spawn(serve(conn, spawned));
+                dispatch.tasks.spawn(serve(conn, shared.clone()));
             }
             Err(e) => {
+                let now = shared.borrow().clock.now();
                 shared.borrow().note(format_args!("accept failed: {}", e.kind()));
-                shared.borrow().owners.shed();
-                Timer::after(ACCEPT_PAUSE).await;
+                if !shared.borrow().owners.shed(now) {
+                    Timer::after(ACCEPT_PAUSE).await;
+                }
             }
         }
+        // Connections that were told to end give their descriptors back before the next is taken.
+        future::yield_now().await;
     }
 }
 
@@ -146,12 +244,22 @@
             {
                 taken += length;
                 shared.borrow_mut().owner_word(id, task, word);
+                // Nothing more is taken from one that is to end.
+                if conn.stopping() {
+                    return Ok(());
+                }
             }
             inbox.drain(..taken.min(inbox.len()));
+            shared.borrow_mut().owner_heard(id, taken > 0, !inbox.is_empty());
             Ok(())
         })
         .await;
     // No word is to be queued on it from here on.
     conn.stop(end);
     shared.borrow_mut().owner_ended(id, end);
+    if matches!(end, End::Malformed(_) | End::IdInUse) {
+        shared.borrow_mut().owners.lingering += 1;
+        conn.linger().await;
+        shared.borrow_mut().owners.lingering -= 1;
+    }
 }
--- a/tests/common/peers.rs
+++ b/tests/common/peers.rs
@@ -87,6 +87,12 @@
         }
     }
 
+    /// Descriptors that it holds.
+    pub fn descriptors(&self) -> usize {
+        let open = std::fs::read_dir(format!("/proc/{}/fd", self.child.id()));
+        open.expect("a process").count()
+    }
+
     pub fn terminate(&self) {
         let sent = Command::new("kill").args(["-TERM", &self.child.id().to_string()]).status();
         assert!(sent.expect("kill runs").success());
@@ -408,3 +414,35 @@
         }
     })
 }
+
+/// Long enough for what must not come: many times what it takes to come.
+pub const QUIET: Duration = Duration::from_millis(400);
+
+/// A program with up hosts `h0`, `h1` and so on, each with its connection.
+pub fn start(hosts: usize) -> (Program, Feed, Vec<Host>, Vec<HostConn>) {
+    let mut feed = Feed::new();
+    let hosts: Vec<Host> = (0..hosts).map(|n| Host::new(&format!("h{n}"), "north")).collect();
+    let program = Program::start(&config(&feed, hosts.iter().map(|h| h.entry("up", 0)).collect()));
+    assert_eq!(feed.subscribed(), 1);
+    feed.tell(&json!({ "n": 1 }));
+    let conns = hosts.iter().map(Host::accept).collect();
+    (program, feed, hosts, conns)
+}
+
+pub fn hex(id: u64) -> String {
+    format!("{id:016x}")
+}
+
+/// The connection on which the next offer comes, and its id.
+pub fn offered(conns: &mut [HostConn]) -> (usize, String) {
+    let end = Instant::now() + LIMIT;
+    while Instant::now() < end {
+        for (n, conn) in conns.iter_mut().enumerate() {
+            if let Some(message) = conn.read_within(Duration::from_millis(20)) {
+                assert_eq!(message.get_str("t"), Some("new"), "{message}");
+                return (n, message.get_str("ref").expect("an id").to_string());
+            }
+        }
+    }
+    panic!("no offer comes");
+}
--- /dev/null
+++ b/tests/rough.rs
@@ -0,0 +1,170 @@
+//! The program among owners, hosts and a feed that misbehave, one test for each guard.
+
+#![recursion_limit = "256"]
+
+#[path = "common/peers.rs"]
+mod peers;
+
+use peers::*;
+use simd_json::json;
+use simd_json::prelude::*;
+use std::time::{Duration, Instant};
+
+/// A bad client is owed a word or a close within 3 s.
+const OWED: Duration = Duration::from_secs(3);
+
+/// The parameters of a set-up, for spoiling.
+fn parameters<'a>(wait: &'a str, tenant: &'a str, figures: &'a str) -> Vec<(u8, &'a [u8])> {
+    let key = b"000000000000abcd";
+    let texts = [(129, "quick"), (132, wait), (135, tenant), (144, figures), (174, "d")];
+    let mut all: Vec<(u8, &[u8])> = texts.iter().map(|(code, text)| (*code, text.as_bytes())).collect();
+    all.push((141, key));
+    all
+}
+
+// ---- Bad clients ----
+
+// Found on days with bad clients: hosts close on an offer without an id, whatever else is open there, and
+// answer errors to others, for which they were held for broken.
+#[test]
+fn asks_that_cannot_be_right_are_answered_at_once_and_reach_no_host() {
+    let (program, _feed, _hosts, mut conns) = start(1);
+    let mut owner = program.owner();
+    let good = "cores:1;memory:2;service:7";
+    let cases = [
+        (0, "6000", "ours", good),
+        (2, "6000", "nobody", good),
+        (3, "0", "ours", good),
+        (4, "-5", "ours", good),
+        (5, "86400000", "ours", good),
+        (6, "6000", "ours", "cores:4000;memory:2;service:7"),
+        (7, "6000", "ours", "cores:1;memory:1e300;service:7"),
+        (8, "6000", "ours", "cores:NaN;memory:2;service:7"),
+    ];
+    for (id, wait, tenant, figures) in cases {
+        owner.say(&bytes(1, id, &parameters(wait, tenant, figures)));
+        let answer = owner.read();
+        assert_eq!((answer.kind, answer.id, answer.cause()), (12, id, 47), "{wait} {tenant} {figures}");
+    }
+    // An id that is over is not used again.
+    owner.set_up(9, &QUICK);
+    assert_eq!(conns[0].offer(), hex(9));
+    conns[0].down(&hex(9), 16, "");
+    assert_eq!(owner.read().cause(), 16);
+    owner.set_up(9, &ONCE);
+    assert_eq!((owner.read().cause(), owner.test()), (47, true));
+    assert!(conns[0].read_within(QUIET).is_none());
+}
+
+// Found there too: a bad client took an open id over and got the answer that another was owed.
+#[test]
+fn an_id_that_is_open_is_not_taken_over() {
+    let (program, _feed, _hosts, mut conns) = start(1);
+    let mut owner = program.owner();
+    owner.set_up(1, &QUICK);
+    let id = conns[0].offer();
+    let mut other = program.owner();
+    other.set_up(1, &Ask { service: 8, ..QUICK });
+    assert_eq!(other.next(), None, "the second connection ends");
+    let mut other = program.owner();
+    other.say(&bytes(1, 1, &[]));
+    assert_eq!(other.next(), None, "nor is a failure under its id told");
+    // Given up from elsewhere it is still owed.
+    let mut other = program.owner();
+    other.release(1, 16);
+    assert_eq!(other.read().kind, 16);
+    conns[0].up(&id);
+    assert_eq!((owner.read().kind, owner.test()), (9, true));
+    // Two set-ups under one number end their connection, and the offer is given up.
+    other.set_up(2, &Ask { service: 8, ..QUICK });
+    other.set_up(2, &Ask { service: 8, ..QUICK });
+    assert_eq!(other.next(), None);
+    conns[0].expect("new");
+    assert_eq!(conns[0].expect("down").get_str("ref"), Some(hex(2).as_str()));
+}
+
+#[test]
+fn who_says_nothing_or_half_a_message_is_closed_and_who_asked_once_stays() {
+    let (program, _feed, _hosts, _conns) = start(1);
+    let started = Instant::now();
+    let mut silent = program.owner();
+    let mut half = program.owner();
+    half.say(&[0, 200, 1, 0, 0]);
+    let mut after = program.owner();
+    assert!(after.test());
+    after.say(&[0]);
+    let mut once = program.owner();
+    assert!(once.test());
+    for owner in [&mut silent, &mut half, &mut after] {
+        assert_eq!(owner.next(), None);
+    }
+    assert!(started.elapsed() < OWED, "{:?}", started.elapsed());
+    assert!(once.test());
+}
+
+#[test]
+fn what_is_no_use_gets_a_word_or_a_close() {
+    let (program, _feed, _hosts, _conns) = start(1);
+    let mut owner = program.owner();
+    owner.release(77, 16);
+    assert_eq!((owner.read().kind, owner.test()), (16, true), "of a task that is not known");
+    owner.say(&bytes(99, 5, &[]));
+    assert_eq!(owner.next(), None, "of an unknown type");
+    // The word comes before the end, though more is under way that nobody reads.
+    let mut owner = program.owner();
+    owner.say(&bytes(1, 4, &parameters("6000", "nobody", "")));
+    owner.say(&[0xff; 300_000]);
+    assert_eq!(owner.read().cause(), 47);
+    assert_eq!(owner.next(), None);
+}
+
+// Found on days with clients that ask once and keep their connection: at the limit every accept failed
+// first, and set-ups waited for seconds.
+#[test]
+fn owners_stay_within_a_budget_of_descriptors_and_the_busy_are_kept() {
+    let mut feed = Feed::new();
+    let host = Host::new("h0", "north");
+    let mut config = config(&feed, vec![host.entry("up", 0)]);
+    config["limits"] = json!({ "cores": 1.0, "memory_mb": 32, "sockets": 64 });
+    let program = Program::start(&config);
+    feed.subscribed();
+    let mut conn = host.accept();
+    let mut busy = program.owner();
+    busy.set_up(1, &QUICK);
+    let id = conn.offer();
+    let mut stayed: Vec<Owner> = (0..64).map(|_| program.owner()).collect();
+    assert!(stayed.last_mut().is_some_and(Owner::test));
+    let descriptors = program.descriptors();
+    assert!(descriptors < 64, "{descriptors}");
+    conn.up(&id);
+    assert_eq!(busy.read().kind, 9);
+}
+
+#[test]
+fn the_end_of_a_task_goes_to_an_owner_and_is_told_again_where_it_was_not_heard() {
+    let (program, _feed, _hosts, mut conns) = start(1);
+    let mut owner = program.owner();
+    owner.set_up(1, &QUICK);
+    let id = conns[0].offer();
+    conns[0].up(&id);
+    assert_eq!(owner.read().kind, 9);
+    let mut stranger = program.owner();
+    assert!(stranger.test(), "heard last, and has no task");
+    conns[0].down(&id, 16, "");
+    assert_eq!(owner.read().id, 1);
+    drop(owner);
+    assert_eq!(stranger.read().id, 1, "not heard there, so told again");
+    stranger.say(&bytes(16, 1, &[]));
+    assert!(stranger.test());
+}
+
+#[test]
+fn a_task_at_a_host_that_no_list_knows_does_not_stand_for_ever() {
+    let (program, _feed, _hosts, _conns) = start(1);
+    let mut owner = program.owner();
+    owner.set_up(1, &Ask { at: Some("h9"), ..QUICK });
+    owner.set_up(2, &Ask { at: Some("h0"), ..QUICK });
+    let started = Instant::now();
+    assert_eq!((owner.read().id, owner.test()), (1, true));
+    assert!(started.elapsed() < OWED, "{:?}", started.elapsed());
+}
