SIGHUP reads the configuration again and moves to its feed; a broken feed is called at once

Checked: net/mod.rs took SIGTERM and SIGINT only, so SIGHUP had its default effect; feed::follow knew the address of the start only and paused 250 ms after every break; silence took 2.25 s to be seen, of the 4 s after which what was not told counts as told.

Both new tests fail on the code before (the program ends; the feed is asked late).

--- a/src/net/dispatch.rs
+++ b/src/net/dispatch.rs
@@ -8,7 +8,7 @@
 use super::codec::feed::{FeedLine, Listed};
 use super::codec::lines::{self, HostWord};
 use super::codec::{Malformed, SetUp, TaskId, cause};
-use super::config::Config;
+use super::config::{Config, Limits};
 use super::conn::{self, Conn, End};
 use super::hosts::{self, Link, Phase, Round, Unmade};
 use super::log;
@@ -167,6 +167,12 @@
         self.note(format_args!("{} serves, {} hosts known", self.name, self.hosts.len()));
     }
 
+    /// Takes over what the process may hold.
+    pub fn limit(&mut self, limits: Limits) {
+        self.owners.limit(limits.sockets);
+        conn::bound_queues(limits.memory / QUEUES);
+    }
+
     /// The names that the settings state.
     pub fn names(&self) -> &Names {
         self.facade.names()
--- a/src/net/feed.rs
+++ b/src/net/feed.rs
@@ -3,6 +3,7 @@
 use super::codec::{feed, next_line};
 use super::conn::{Conn, End};
 use super::dispatch::Shared;
+use async_channel::Receiver;
 use async_io::{Async, Timer};
 use futures_lite::future;
 use std::cell::Cell;
@@ -12,38 +13,59 @@
 
 /// A line comes each second; a feed that tells nothing for so many looks is dead.
 const LOOK: Duration = Duration::from_millis(250);
-const SILENT_LOOKS: u32 = 9;
-const CONNECT: Duration = Duration::from_millis(1_000);
-const PAUSE: Duration = Duration::from_millis(250);
+const SILENT_LOOKS: u32 = 7;
+const CONNECT: Duration = Duration::from_millis(500);
+/// Pause after a call that brought nothing. After one that did the feed is called again at once: what
+/// it tells counts as told soon after it broke off.
+const PAUSE: Duration = Duration::from_millis(150);
 
-/// Follows the feed for the life of the process. `last` is the number of the last event known.
-pub async fn follow(address: SocketAddr, mut last: u64, shared: Shared) {
+/// Follows the feed for the life of the process. `last` is the number of the last event known. Another
+/// address that comes in takes the place of the old one at once, and the numbers go on.
+pub async fn follow(mut address: SocketAddr, mut last: u64, moves: Receiver<SocketAddr>, shared: Shared) {
     loop {
-        let connect = async { Async::<TcpStream>::connect(address).await.map_err(End::from) };
-        let limit = async {
-            Timer::after(CONNECT).await;
-            Err(End::Silent)
+        let moved = async {
+            match moves.recv().await {
+                Ok(next) => next,
+                Err(_) => future::pending().await,
+            }
         };
-        let end = match future::or(connect, limit).await {
-            Ok(stream) => subscribe(Rc::new(Conn::new(stream)), &mut last, &shared).await,
-            Err(end) => end,
+        let called = async {
+            let told = call(address, &mut last, &shared).await;
+            if !told {
+                Timer::after(PAUSE).await;
+            }
+            address
         };
-        shared.borrow_mut().feed_ended(last, end);
-        Timer::after(PAUSE).await;
+        address = future::or(moved, called).await;
     }
 }
 
+/// One call, until it ends: whether it brought a line.
+async fn call(address: SocketAddr, last: &mut u64, shared: &Shared) -> bool {
+    let connect = async { Async::<TcpStream>::connect(address).await.map_err(End::from) };
+    let limit = async {
+        Timer::after(CONNECT).await;
+        Err(End::Silent)
+    };
+    let told = Cell::new(0);
+    let end = match future::or(connect, limit).await {
+        Ok(stream) => subscribe(Rc::new(Conn::new(stream)), last, &told, shared).await,
+        Err(end) => end,
+    };
+    shared.borrow_mut().feed_ended(*last, end);
+    told.get() > 0
+}
+
 /// One subscription, until it ends. Guards against a feed that falls silent on an open connection,
 /// events that come twice, and gaps: each ends it, and the next one resumes after the last event.
-async fn subscribe(conn: Rc<Conn>, last: &mut u64, shared: &Shared) -> End {
+async fn subscribe(conn: Rc<Conn>, last: &mut u64, told: &Cell<u64>, shared: &Shared) -> End {
     let now = shared.borrow().clock.now();
     conn.send(now, format!("SUB {last}\n").as_bytes());
-    let told = Cell::new(true);
     let take = |inbox: &mut Vec<u8>| {
         while let Some(mut line) = next_line(inbox, feed::MOST_BYTES).map_err(End::Malformed)? {
-            told.set(true);
             let mut dispatch = shared.borrow_mut();
             let line = feed::read(&mut line, dispatch.names()).map_err(End::Malformed)?;
+            told.set(told.get() + 1);
             match line.members {
                 Some(_) if line.number <= *last => {}
                 Some((whole, hosts)) if whole || line.number == *last + 1 => {
@@ -57,10 +79,11 @@
         Ok(())
     };
     let silence = async {
-        let mut silent = 0;
+        let (mut silent, mut seen) = (0, 0);
         while silent < SILENT_LOOKS {
             Timer::after(LOOK).await;
-            silent = if told.take() { 0 } else { silent + 1 };
+            silent = if told.get() > seen { 0 } else { silent + 1 };
+            seen = told.get();
         }
         End::Silent
     };
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -11,6 +11,7 @@
 mod owners;
 mod wheel;
 
+use async_channel::Sender;
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use async_signal::{Signal, Signals};
@@ -19,14 +20,14 @@
 use futures_lite::StreamExt;
 use std::cell::RefCell;
 use std::io;
-use std::net::TcpListener;
+use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
 use std::time::Duration;
 
 /// Serves until a signal asks for the end and all that is owed is answered.
 pub fn serve(config: Config) -> io::Result<()> {
     let executor = Rc::new(LocalExecutor::new());
-    let mut signals = Signals::new([Signal::Term, Signal::Int])?;
+    let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])?;
     let (listen, feed, known_to) = (config.listen, config.feed, config.known_to);
     let shared: Shared = Rc::new_cyclic(|me| {
         RefCell::new(Dispatch::new(config, dispatch::Tasks::new(me.clone(), executor.clone())))
@@ -36,11 +37,16 @@
         shared.borrow_mut().start();
         let listener = Async::<TcpListener>::bind(listen)?;
         executor.spawn(owners::accept(listener, shared.clone())).detach();
-        executor.spawn(feed::follow(feed, known_to, shared.clone())).detach();
-        let closing = shared.clone();
+        let (moves, moved) = async_channel::unbounded();
+        executor.spawn(feed::follow(feed, known_to, moved, shared.clone())).detach();
+        let signalled = shared.clone();
         let on_signal = async move {
-            while signals.next().await.is_some() {
-                closing.borrow_mut().close_down();
+            while let Some(signal) = signals.next().await {
+                let mut dispatch = signalled.borrow_mut();
+                match signal {
+                    Ok(Signal::Hup) => reload(&mut dispatch, &moves),
+                    _ => dispatch.close_down(),
+                }
             }
         };
         executor.spawn(on_signal).detach();
@@ -55,3 +61,16 @@
         Ok(())
     }))
 }
+
+/// Reads the configuration again: the feed and the limits are taken over, all else stays as it was at
+/// the start. Guards against a file that can't be read: the one before stays in force.
+fn reload(dispatch: &mut Dispatch, moves: &Sender<SocketAddr>) {
+    match config::load() {
+        Ok(config) => {
+            dispatch.note(format_args!("configuration read again, feed at {}", config.feed));
+            dispatch.limit(config.limits);
+            let _ = moves.try_send(config.feed);
+        }
+        Err(problem) => dispatch.note(format_args!("not read again: {problem}")),
+    }
+}
--- a/src/net/owners.rs
+++ b/src/net/owners.rs
@@ -80,6 +80,11 @@
         Owners { all, next: 0, unsent: Vec::new(), told, sockets, lingering: 0 }
     }
 
+    /// Sets the descriptors of the whole process.
+    pub fn limit(&mut self, sockets: usize) {
+        self.sockets = sockets;
+    }
+
     /// Takes in a connection, and tells it what found no other.
     pub fn opened(&mut self, now: Micros, conn: Rc<Conn>) -> OwnerId {
         let id = OwnerId(self.next);
--- a/tests/common/peers.rs
+++ b/tests/common/peers.rs
@@ -93,11 +93,21 @@
         open.expect("a process").count()
     }
 
-    pub fn terminate(&self) {
-        let sent = Command::new("kill").args(["-TERM", &self.child.id().to_string()]).status();
+    fn signal(&self, name: &str) {
+        let sent = Command::new("kill").args([name, &self.child.id().to_string()]).status();
         assert!(sent.expect("kill runs").success());
     }
 
+    pub fn terminate(&self) {
+        self.signal("-TERM");
+    }
+
+    /// Replaces the configuration and has it read again.
+    pub fn reload(&self, config: &str) {
+        std::fs::write(&self.config, config).expect("a temporary file");
+        self.signal("-HUP");
+    }
+
     pub fn exit(&mut self) -> ExitStatus {
         let end = Instant::now() + LIMIT;
         loop {
@@ -151,6 +161,10 @@
         Feed { listener: listen(), stream: None }
     }
 
+    pub fn address(&self) -> String {
+        self.listener.local_addr().expect("an address").to_string()
+    }
+
     /// Waits for a subscription and answers its number.
     pub fn subscribed(&mut self) -> u64 {
         let stream = accept(&self.listener, LIMIT).expect("a subscription");
@@ -377,7 +391,7 @@
 /// must never start twice, and a cold host bears 3 offers a second.
 pub fn config(feed: &Feed, hosts: Vec<OwnedValue>) -> OwnedValue {
     let listen = free_address().to_string();
-    let feed = feed.listener.local_addr().expect("an address").to_string();
+    let feed = feed.address();
     let class = |name: &str, semantics: &str| {
         json!({
             "name": name, "aim": 1000.0, "hard_limit": 6000.0, "semantics": semantics, "group": "all",
--- a/tests/rough.rs
+++ b/tests/rough.rs
@@ -168,3 +168,49 @@
     assert_eq!((owner.read().id, owner.test()), (1, true));
     assert!(started.elapsed() < OWED, "{:?}", started.elapsed());
 }
+
+// ---- Feeds and new configurations ----
+
+// Found on days with new configurations: SIGHUP ended the process, and all that was open was lost.
+#[test]
+fn at_sighup_the_feed_moves_and_goes_on_from_the_last_event_while_requests_go_on() {
+    let mut feed = Feed::new();
+    let host = Host::new("h0", "north");
+    let mut config = config(&feed, vec![host.entry("up", 0)]);
+    let program = Program::start(&config);
+    assert_eq!(feed.subscribed(), 1);
+    feed.event(2, &host, "up");
+    let mut conn = host.accept();
+    let mut owner = program.owner();
+    owner.set_up(1, &QUICK);
+    let id = conn.offer();
+    for n in 3..5 {
+        // A file that can't be read leaves the one before in force.
+        program.reload("{\"feed\":");
+        feed.event(n, &host, "up");
+        assert!(owner.test());
+        feed = Feed::new();
+        config["feed"] = feed.address().into();
+        program.reload(&config.encode());
+        assert_eq!(feed.subscribed(), n);
+    }
+    conn.up(&id);
+    assert_eq!((owner.read().kind, owner.test()), (9, true));
+}
+
+#[test]
+fn a_feed_cut_inside_an_event_or_gone_silent_is_asked_again_soon() {
+    let (_program, mut feed, hosts, _conns) = start(1);
+    let text = event(2, false, vec![hosts[0].entry("draining", 0)]).encode();
+    for spoilt in [&text[..text.len() / 2], "{\"n\":2,\"members\":7}\n", "\u{1}\u{2}\n"] {
+        let mut stream = feed.stream_taken().expect("a subscription");
+        std::io::Write::write_all(&mut stream, spoilt.as_bytes()).expect("it reads");
+        let broken = Instant::now();
+        drop(stream);
+        assert_eq!(feed.subscribed(), 1, "{spoilt}");
+        assert!(broken.elapsed() < Duration::from_secs(2), "{:?}", broken.elapsed());
+    }
+    let stopped = Instant::now();
+    assert_eq!(feed.subscribed(), 1, "it stays open and tells nothing");
+    assert!(stopped.elapsed() < Duration::from_secs(4), "{:?}", stopped.elapsed());
+}
