Spoilt answers end their connection; errors of two hosts to one task are the task's

Checked, by the trace of words: asks that hosts answer with errors look right (class, tenant, figures, a fresh id), so they can't be told before; every host answers them alike. Ruled out: hosts that are broken (errors of usual tasks: 5). An answer without "d" counted as an empty one; one that stopped short left its offers out until their time was up.

At fault: Placer::outcome (strike at every Error), lines::read ("up" without "d"), no limit to half a line in Conn::read, links of gone hosts kept for ever in Dispatch::hosts.

--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -155,6 +155,8 @@
     pub may_have_run: Option<(Option<Place>, Micros)>,
     pub sent_at: Micros,
     pub tried: Vec<Place>,
+    /// Machines that answered an error.
+    pub errors: Vec<Place>,
     /// The latest attempt ended for want of room.
     pub short: bool,
     /// Cores and memory in use as last told.
--- a/src/net/codec/lines.rs
+++ b/src/net/codec/lines.rs
@@ -32,7 +32,8 @@
     let field = |name| fields.and_then(|f| f.get(name));
     let note = field("note").and_then(|v| v.as_str());
     let word = match text("t").ok_or(Malformed::Field("t"))? {
-        "up" => HostWord::Up(text("d").unwrap_or_default().to_string()),
+        // Without its description it is no answer, but a spoilt one.
+        "up" => HostWord::Up(text("d").ok_or(Malformed::Field("d"))?.to_string()),
         "down" => {
             let cause = value.get("c").and_then(|v| v.as_u8()).ok_or(Malformed::Field("c"))?;
             HostWord::Down(cause, detail(note))
@@ -114,7 +115,7 @@
     fn lines_are_read_by_type() {
         let cases = [
             (r#""t":"up","f":{},"d":"a\r\nb""#, HostWord::Up("a\r\nb".into())),
-            (r#""t":"up""#, HostWord::Up(String::new())),
+            (r#""t":"up","d":"""#, HostWord::Up(String::new())),
             (r#""t":"down","f":{"note":"nc"},"c":34"#, HostWord::Down(34, Detail::NoCores)),
             (r#""t":"down","f":{"note":"pre"},"c":41"#, HostWord::Down(41, Detail::PushedOut)),
             (r#""t":"down","f":{},"c":16"#, HostWord::Down(16, Detail::None)),
@@ -139,6 +140,8 @@
             (deep.as_str(), Malformed::Json),
             ("{\"t\":\"up\",\"ref\":\"\u{1}\"}", Malformed::Json),
             (r#"{"t":"up"}"#, Malformed::Field("ref")),
+            (r#"{"t":"up","ref":"9b1f03aa5c7e2d41","f":{}}"#, Malformed::Field("d")),
+            (r#"{"t":"up","ref":"9b1f03aa5c7e2d41","d":7}"#, Malformed::Field("d")),
             (r#"{"t":"up","ref":"1"}"#, Malformed::Field("ref")),
             (r#"{"t":"up","ref":7}"#, Malformed::Field("ref")),
             (r#"{"ref":"9b1f03aa5c7e2d41"}"#, Malformed::Field("t")),
--- a/src/net/conn.rs
+++ b/src/net/conn.rs
@@ -9,7 +9,7 @@
 use std::fmt;
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::{Shutdown, TcpStream};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Bytes that may wait for a peer that reads slowly.
 const MOST_QUEUED: usize = 256 * 1024;
@@ -101,6 +101,8 @@
     /// Since when the queue has made no progress, and whether it has made some since that was noted.
     stuck_since: Cell<Micros>,
     progress: Cell<bool>,
+    /// Since when half a message waits for its rest.
+    half_since: Cell<Option<Instant>>,
     end: Cell<Option<End>>,
     wake: (Sender<()>, Receiver<()>),
 }
@@ -115,6 +117,7 @@
             queue: RefCell::default(),
             stuck_since: Cell::new(0),
             progress: Cell::new(false),
+            half_since: Cell::new(None),
             end: Cell::new(None),
             wake: async_channel::bounded(1),
         }
@@ -185,6 +188,13 @@
         }
     }
 
+    /// Ends a connection on which half a message has waited so long for its rest.
+    pub fn end_if_half(&self, patience: Duration) {
+        if self.half_since.get().is_some_and(|since| since.elapsed() > patience) {
+            self.stop(End::Unspoken);
+        }
+    }
+
     /// Reads and writes until it ends. `take` removes whole messages from what has come in.
     pub async fn run(&self, take: impl FnMut(&mut Vec<u8>) -> Result<(), End>) -> End {
         future::or(self.read(take), self.write()).await
@@ -198,9 +208,12 @@
                 Ok(_) => {}
                 Err(e) => return self.end.get().unwrap_or(e.into()),
             };
+            let before = inbox.len();
             if let Err(end) = take(&mut inbox) {
                 return end;
             }
+            let since = self.half_since.get().filter(|_| inbox.len() == before);
+            self.half_since.set((!inbox.is_empty()).then(|| since.unwrap_or_else(Instant::now)));
             if inbox.is_empty() {
                 inbox = Vec::new();
             }
--- a/src/net/dispatch.rs
+++ b/src/net/dispatch.rs
@@ -22,6 +22,7 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::fmt::Arguments;
 use std::rc::{Rc, Weak};
+use std::time::Duration;
 
 const MILLI: Micros = 1_000;
 /// An owner's time runs from when it sent: what the way here, a tick and the way back may take.
@@ -32,6 +33,8 @@
 const CLOSE_OPEN: Micros = 1_000 * MILLI;
 const CLOSE_ANSWER: Micros = 3_300 * MILLI;
 const CLOSE_END: Micros = 3_500 * MILLI;
+/// How long half a line of a host may wait for its rest.
+const HALF: Duration = Duration::from_millis(400);
 /// How long a host may be out of reach until what stood there counts as lost.
 const UNREACHED: Micros = 1_500 * MILLI;
 /// How long an offer may be out on a connection on which nothing is heard.
@@ -840,10 +843,16 @@
 
     /// Ends connections that are stuck, and the oldest replaced ones on which no offer is out. The latest
     /// stay: the host may have words under way on them, and closes them itself when they idle.
-    fn sweep_hosts(&self, now: Micros) {
+    fn sweep_hosts(&mut self, now: Micros) {
+        // Guards against hosts that come and go all day.
+        self.hosts.retain(|_, link| !link.over());
         let out_on = |host: &HostId, round| self.requests.values().any(|r| r.out_on(host, round));
         for (host, link) in &self.hosts {
-            link.conns().for_each(|conn| conn.end_if_stuck(now, STUCK));
+            // Guards also against an answer that stops short: nothing after it can be read.
+            link.conns().for_each(|conn| {
+                conn.end_if_stuck(now, STUCK);
+                conn.end_if_half(HALF);
+            });
             for (round, conn) in link.doubted.iter().rev().skip(MOST_DOUBTED) {
                 if !out_on(host, *round) {
                     conn.stop(End::Replaced);
--- a/src/net/hosts.rs
+++ b/src/net/hosts.rs
@@ -96,6 +96,12 @@
         current.into_iter().chain(self.doubted.iter().map(|(_, conn)| conn))
     }
 
+    /// Whether the host is gone and nothing of it is left: a new one under its name inherits nothing.
+    pub fn over(&self) -> bool {
+        let quiet = matches!(self.phase, Phase::Down) && self.doubted.is_empty() && self.waiting.is_empty();
+        self.state == HostState::Gone && quiet
+    }
+
     /// Pause before the next attempt.
     pub fn pause(&self) -> Micros {
         (FIRST_PAUSE << self.failures.min(8)).min(LAST_PAUSE)
@@ -154,3 +160,37 @@
     conn.stop(end);
     shared.borrow_mut().host_ended(&host, round, end);
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use anisehead::{Entry, KindId, ZoneId};
+    use std::sync::Arc;
+
+    #[test]
+    fn a_host_is_forgotten_once_it_is_gone_and_its_connections_have_ended() {
+        let entry = Entry {
+            host: HostId(Arc::from("h0")),
+            zone: ZoneId(0),
+            cell: CellId(0),
+            kind: KindId(0),
+            state: HostState::Up,
+            ready_at: 0,
+            free_cores: 0.0,
+            free_memory: 0.0,
+        };
+        let mut link = Link::new(&Listed { entry, dial: None });
+        let (stop, _stopped) = async_channel::bounded(1);
+        for (state, phase, over) in [
+            (HostState::Up, Phase::Down, false),
+            (HostState::Draining, Phase::Down, false),
+            (HostState::Gone, Phase::Connecting(stop), false),
+            (HostState::Gone, Phase::Down, true),
+        ] {
+            (link.state, link.phase) = (state, phase);
+            assert_eq!(link.over(), over, "{state:?}");
+        }
+        link.waiting.push((Ticket(1), 0));
+        assert!(!link.over(), "an offer still waits");
+    }
+}
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -44,6 +44,8 @@
 /// The same for a class or tenant: no probe tells when it is served again.
 const SUSPECT_PART: i64 = 16;
 const DOUBLINGS: u32 = 6;
+/// So many machines that answer an error to a task speak of the task.
+const BLAME: usize = 2;
 /// Own unanswered offers at a machine at once: at first and at most; what a start in time adds, a
 /// late one takes, and the part that a lost one takes.
 const START_WINDOW: f64 = 8.0;
@@ -216,6 +218,8 @@
     /// for a span that doubles with each failure, and then until a probe is answered; what it failed
     /// or turned away for one class and tenant is shut for these alone, for the span. Guards against
     /// machines that swallow or bounce offers (dead, cut off, stalled, failing starts) and against
+    /// tasks that every machine answers an error: an error counts once another machine has started the
+    /// task, or where the task may go to no other; and against
     /// those that fail or limit one class or tenant and serve the rest. Harm: where most machines
     /// fail now and then, room goes unused.
     fn strike(&mut self, at: Place, scope: Scope) {
@@ -282,12 +286,14 @@
         }
         job.placed = true;
         let class = job.task.class;
+        let errors = std::mem::take(&mut job.errors);
         let part = Scope::Part(class, job.task.tenant);
         let aim = self.s.classes[class.0].aim;
         self.confirm(at, if elapsed <= aim { WINDOW_GAIN } else { -WINDOW_LATE });
         for scope in [Scope::Machine, Scope::Class(class), part] {
             self.health.ease(at, scope);
         }
+        errors.into_iter().for_each(|at| self.strike(at, Scope::Class(class)));
     }
 
     /// An offer is no longer out. The window of offers at a machine grows while starts are in time and
@@ -318,6 +324,10 @@
         let (asks, service, placed) = (job.asks(), job.task.service, job.placed);
         let part = Scope::Part(job.task.class, job.task.tenant);
         let class = Scope::Class(job.task.class);
+        let last = self.s.classes[job.task.class.0].effect == Effect::Unsafe;
+        if let (Outcome::Error, Some(at)) = (outcome, at) {
+            job.errors.push(at);
+        }
         let proven = matches!(outcome, Outcome::Full | Outcome::ConnectFailed | Outcome::Moot);
         if !proven && job.may_have_run.is_none() {
             job.may_have_run = Some((at, job.sent_at));
@@ -333,7 +343,8 @@
             match (outcome, detail) {
                 (Outcome::Full, Detail::NoCores | Detail::NoMemory) => self.mark_full(at, detail),
                 (Outcome::Full, Detail::None) => self.strike(at, part),
-                (Outcome::Error | Outcome::Timeout, _) => self.strike(at, class),
+                (Outcome::Timeout, _) => self.strike(at, class),
+                (Outcome::Error, _) if last => self.strike(at, class),
                 // Pushed out before it ran: the machine is well and made room for its betters.
                 (Outcome::Full, Detail::PushedOut) => {}
                 (Outcome::Full | Outcome::ConnectFailed, _)
@@ -694,6 +705,7 @@
     fn may_send(&self, job: &Job) -> bool {
         let effect = self.s.classes[job.task.class.0].effect;
         let effect_ok = effect != Effect::Unsafe || job.may_have_run.is_none();
+        let effect_ok = effect_ok && job.errors.len() < BLAME;
         effect_ok && job.out.is_none() && !job.placed && !job.closed && job.sent < self.s.max_attempts
     }
 
--- a/tests/common/peers.rs
+++ b/tests/common/peers.rs
@@ -240,6 +240,20 @@
         }
     }
 
+    /// Waits for the program to end the connection, whatever it still says.
+    pub fn ended(&mut self) -> bool {
+        self.reader.get_ref().set_read_timeout(Some(LIMIT)).expect("a socket option");
+        let mut line = Vec::new();
+        loop {
+            line.clear();
+            match self.reader.read_until(b'\n', &mut line) {
+                Ok(0) => return true,
+                Ok(_) => {}
+                Err(e) => return e.kind() == ErrorKind::ConnectionReset,
+            }
+        }
+    }
+
     /// The next message of a type, which must come.
     pub fn expect(&mut self, kind: &str) -> OwnedValue {
         let message = self.read_within(LIMIT).unwrap_or_else(|| panic!("no {kind} comes"));
--- a/tests/rough.rs
+++ b/tests/rough.rs
@@ -214,3 +214,45 @@
     assert_eq!(feed.subscribed(), 1, "it stays open and tells nothing");
     assert!(stopped.elapsed() < Duration::from_secs(4), "{:?}", stopped.elapsed());
 }
+
+// ---- Bad hosts ----
+
+#[test]
+fn a_spoilt_answer_ends_its_connection_and_what_may_be_repeated_goes_elsewhere() {
+    let (program, _feed, hosts, mut conns) = start(2);
+    let mut owner = program.owner();
+    let up = |rest: &str| format!("{{\"t\":\"up\",\"ref\":\"{}\"{rest}", hex(1));
+    // Noise, no description, a line that never ends, one that stops short.
+    let spoilt = ["\u{1}\u{2}\n".into(), up(",\"f\":{}}\n"), up(&"x".repeat(20_000)), up(",\"d\":\"sta")];
+    for (n, bytes) in spoilt.iter().enumerate() {
+        let id = 1 + n as u64;
+        owner.set_up(id, &Ask { service: 20 + id, ..QUICK });
+        let (at, _) = offered(&mut conns);
+        conns[at].raw(bytes.as_bytes());
+        assert!(conns[at].ended(), "{n}");
+        conns[at] = hosts[at].accept();
+        let (again, offer) = offered(&mut conns);
+        assert_eq!((again, offer.as_str()), (1 - at, hex(id).as_str()), "{n}");
+        conns[again].up(&offer);
+        assert_eq!((owner.read().kind, owner.test()), (9, true), "{n}");
+    }
+    // What must not start twice fails.
+    owner.set_up(9, &ONCE);
+    let (at, _) = offered(&mut conns);
+    conns[at].raw(spoilt[1].as_bytes());
+    assert_eq!((owner.read().cause(), owner.test()), (47, true));
+}
+
+#[test]
+fn a_good_answer_that_brings_more_than_belongs_to_it_is_taken_once() {
+    let (program, _feed, _hosts, mut conns) = start(1);
+    let mut owner = program.owner();
+    owner.set_up(1, &QUICK);
+    let id = conns[0].offer();
+    conns[0].up("00000000000000ff");
+    conns[0].up(&id);
+    conns[0].up(&id);
+    assert_eq!((owner.read().id, owner.test()), (1, true));
+    owner.set_up(2, &QUICK);
+    assert_eq!(conns[0].offer(), hex(2), "the connection is still good");
+}
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -386,6 +386,32 @@
     assert_eq!(timeout, Some(5 * SECOND - slack));
 }
 
+/// Found on days with bad clients: hosts answer errors to what they can't use, and were shut for it.
+#[test]
+fn errors_to_a_task_speak_of_the_task_until_another_machine_starts_it() {
+    let mut b = Bench::with(settings(), 1);
+    b.give(full_list(3));
+    for n in 0..10 {
+        let actions = b.ask(task(n, 1));
+        let first = sent(&actions);
+        let again = b.end(n, 0, &first, Outcome::Error, Detail::None);
+        let second = sent(&again);
+        assert_ne!(first, second);
+        let done = b.end(n, 1, &second, Outcome::Error, Detail::None);
+        assert!(sends(&done).is_empty() && refused(&done), "two errors are enough");
+    }
+    // The machines are as good as before: a task goes to the home of its service, as in the beginning.
+    let mut fresh = Bench::with(settings(), 1);
+    fresh.give(full_list(3));
+    assert_eq!(sends(&b.ask(task(50, 1))), sends(&fresh.ask(task(50, 1))));
+    // Where another machine starts it the error was the first one's own.
+    let before = b.ask(task(60, 1));
+    let broken = sent(&before);
+    let second = sent(&b.end(60, 0, &broken, Outcome::Error, Detail::None));
+    b.give(Event::First { id: req(60), attempt: 1, host: second, elapsed: MS });
+    assert!(!sends(&b.ask(task(61, 1))).contains(&broken));
+}
+
 /// Spare machines stay empty while the others have room: a held machine beyond need is priced.
 #[test]
 fn idle_machines_stay_idle() {
