--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -25,6 +25,8 @@
     pub offers: VecDeque<Micros>,
     /// Own offers without an answer yet.
     pub pending: u32,
+    /// When it last started an own task.
+    pub started_at: Option<Micros>,
     /// Own offers that may be unanswered at once, beyond the starting figure.
     pub grown: f64,
     pub probed_at: Micros,
@@ -104,6 +106,7 @@
                 log: VecDeque::new(),
                 offers: VecDeque::new(),
                 pending: 0,
+                started_at: None,
                 grown: 0.0,
                 probed_at: 0,
             });
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -241,6 +241,10 @@
         self.health.of(at, scope).is_some_and(|h| h.on_trial || self.now < h.until)
     }
 
+    fn just_started(&self, at: Place) -> bool {
+        self.fleet.machines[at].started_at.is_some_and(|t| self.now - t < self.window)
+    }
+
     fn bind(&mut self, at: Place, asks: [f64; 2], sign: f64) {
         let since = self.now - 2 * self.list_lag();
         self.fleet.machines[at].bind(self.now, asks.map(|v| sign * v), since);
@@ -290,6 +294,7 @@
         let part = Scope::Part(class, job.task.tenant);
         let aim = self.s.classes[class.0].aim;
         self.confirm(at, if elapsed <= aim { WINDOW_GAIN } else { -WINDOW_LATE });
+        self.fleet.machines[at].started_at = Some(self.now);
         for scope in [Scope::Machine, Scope::Class(class), part] {
             self.health.ease(at, scope);
         }
@@ -343,6 +348,8 @@
             match (outcome, detail) {
                 (Outcome::Full, Detail::NoCores | Detail::NoMemory) => self.mark_full(at, detail),
                 (Outcome::Full, Detail::None) => self.strike(at, part),
+                // One answer that is lost says nothing of a machine that has just started another.
+                (Outcome::Timeout, _) if self.just_started(at) => {}
                 (Outcome::Timeout, _) => self.strike(at, class),
                 (Outcome::Error, _) if last => self.strike(at, class),
                 // Pushed out before it ran: the machine is well and made room for its betters.
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -412,6 +412,23 @@
     assert!(!sends(&b.ask(task(61, 1))).contains(&broken));
 }
 
+/// Found on days with spoilt and lost answers, which come from any host alike: each shut its machine for the
+/// class, and its services started anew where their programs were not.
+#[test]
+fn a_lost_answer_does_not_shut_a_machine_that_has_just_started_another_task() {
+    for (just, shut) in [(true, false), (false, true)] {
+        let mut b = Bench::with(settings(), 1);
+        b.give(full_list(3));
+        let at = sent(&b.ask(task(1, 1)));
+        assert_eq!(sends(&b.ask(task(2, 1))), std::slice::from_ref(&at));
+        if just {
+            b.first(2, 0, &at);
+        }
+        b.end(1, 0, &at, Outcome::Timeout, Detail::None);
+        assert_eq!(sends(&b.ask(task(3, 1))) != [at], shut, "{just}");
+    }
+}
+
 /// Spare machines stay empty while the others have room: a held machine beyond need is priced.
 #[test]
 fn idle_machines_stay_idle() {
