Health engine: signals, own trouble or the fleet's, a weight that does not flap, drains

A front layer gives an overloaded placer its full portion, since nothing tells it otherwise. src/health decides what to say, without I/O: nine signals with ramps, the split between own and fleet trouble, a weight that falls by halves and climbs back slowly, and the phases of a drain. Not wired to sockets yet. The scripted peers moved to crates/standin, a workspace member that the root build does not touch.

--- /dev/null
+++ b/crates/standin/src/program.rs
@@ -0,0 +1,230 @@
+//! The program under test.
+
+use crate::{LIMIT, Owner, until};
+use simd_json::OwnedValue;
+use simd_json::prelude::*;
+use std::fs::File;
+use std::net::{SocketAddr, TcpStream};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitStatus, Output, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::{Duration, Instant};
+
+/// The binary under test: `ANISEHEAD_BIN`, or the one beside the test that runs.
+pub fn binary() -> PathBuf {
+    if let Some(named) = std::env::var_os("ANISEHEAD_BIN") {
+        return PathBuf::from(named);
+    }
+    let test = std::env::current_exe().expect("a path of the test");
+    let folder = test.parent().and_then(Path::parent).expect("a target folder");
+    folder.join("anisehead")
+}
+
+/// A path for a file of a test, used once.
+pub fn scratch(ending: &str) -> PathBuf {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let name = format!("anisehead-{}-{}.{ending}", std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed));
+    std::env::temp_dir().join(name)
+}
+
+/// How a program is started.
+pub struct Launch {
+    config: PathBuf,
+    address: Option<SocketAddr>,
+    files: Vec<PathBuf>,
+    descriptors: u32,
+    args: Vec<String>,
+    env: Vec<(String, String)>,
+    log: Option<Stdio>,
+}
+
+impl Launch {
+    /// On this configuration.
+    pub fn new(config: &OwnedValue) -> Launch {
+        let mut launch = Launch::text(&config.encode());
+        launch.address = config.get_str("listen").and_then(|listen| listen.parse().ok());
+        launch
+    }
+
+    /// On a configuration of this text.
+    pub fn text(config: &str) -> Launch {
+        let path = scratch("json");
+        std::fs::write(&path, config).expect("a temporary file");
+        let files = vec![path.clone()];
+        let (args, env, log) = (Vec::new(), Vec::new(), None);
+        Launch { config: path, address: None, files, descriptors: 1_024, args, env, log }
+    }
+
+    /// With so many descriptors.
+    pub fn descriptors(mut self, descriptors: u32) -> Launch {
+        self.descriptors = descriptors;
+        self
+    }
+
+    /// With an operator's file of this text.
+    pub fn operator(mut self, text: &str) -> Launch {
+        let path = scratch("toml");
+        std::fs::write(&path, text).expect("a temporary file");
+        self.env.push(("ANISEHEAD_OPERATOR".into(), path.to_string_lossy().into_owned()));
+        self.files.push(path);
+        self
+    }
+
+    /// With these arguments.
+    pub fn args(mut self, args: &[&str]) -> Launch {
+        self.args.extend(args.iter().map(ToString::to_string));
+        self
+    }
+
+    /// With its log going there instead of to a file of the test.
+    pub fn log_to(mut self, log: Stdio) -> Launch {
+        self.log = Some(log);
+        self
+    }
+
+    fn command(&self) -> Command {
+        let mut command = Command::new("sh");
+        command.args(["-c", &format!("ulimit -n {}; exec \"$0\" \"$@\"", self.descriptors)]);
+        command.arg(binary()).args(&self.args).env("LB_CONFIG", &self.config);
+        command.envs(self.env.iter().map(|(name, value)| (name, value)));
+        command
+    }
+
+    /// Runs it to its end.
+    pub fn output(self) -> Output {
+        let output = self.command().output().expect("the program starts");
+        self.files.iter().for_each(|file| drop(std::fs::remove_file(file)));
+        output
+    }
+
+    /// Starts it.
+    pub fn start(mut self) -> Program {
+        let log = scratch("log");
+        let file = File::create(&log).expect("a temporary file");
+        let stderr = self.log.take().unwrap_or_else(|| Stdio::from(file));
+        let child = self.command().stderr(stderr).spawn().expect("the program starts");
+        let address = self.address.expect("an address to listen at");
+        self.files.push(log.clone());
+        Program { child, config: self.config, files: self.files, log, address }
+    }
+}
+
+/// The program under test; ended with its test.
+pub struct Program {
+    child: Child,
+    config: PathBuf,
+    files: Vec<PathBuf>,
+    log: PathBuf,
+    /// Where it listens for owners.
+    pub address: SocketAddr,
+}
+
+impl Program {
+    /// Starts it on this configuration.
+    pub fn start(config: &OwnedValue) -> Program {
+        Launch::new(config).start()
+    }
+
+    /// Starts it with so many descriptors.
+    pub fn start_with(config: &OwnedValue, descriptors: u32) -> Program {
+        Launch::new(config).descriptors(descriptors).start()
+    }
+
+    /// A new connection, made as soon as it listens.
+    pub fn owner(&self) -> Owner {
+        until("it listens", || Owner::connect(self.address))
+    }
+
+    /// Its number among the system's processes.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Descriptors that it holds.
+    pub fn descriptors(&self) -> usize {
+        let open = std::fs::read_dir(format!("/proc/{}/fd", self.child.id()));
+        open.expect("a process").count()
+    }
+
+    /// Time that it has spent on a core.
+    pub fn cpu(&self) -> Duration {
+        let text = std::fs::read_to_string(format!("/proc/{}/stat", self.child.id())).expect("a process");
+        let after = text.rsplit_once(')').map_or("", |(_, after)| after);
+        let ticks =
+            |n: usize| after.split_whitespace().nth(n).and_then(|t| t.parse::<u64>().ok()).unwrap_or(0);
+        Duration::from_millis(10 * (ticks(11) + ticks(12)))
+    }
+
+    /// What it has logged so far.
+    pub fn log(&self) -> String {
+        std::fs::read_to_string(&self.log).unwrap_or_default()
+    }
+
+    /// Waits until it has logged this.
+    pub fn logged(&self, text: &str) {
+        until(text, || self.log().contains(text).then_some(()));
+    }
+
+    /// Sends a signal by its name, such as `-TERM`.
+    pub fn signal(&self, name: &str) {
+        let sent = Command::new("kill").args([name, &self.child.id().to_string()]).status();
+        assert!(sent.expect("kill runs").success());
+    }
+
+    /// Asks it to end.
+    pub fn terminate(&self) {
+        self.signal("-TERM");
+    }
+
+    /// Replaces the configuration and has it read again.
+    pub fn reload(&self, config: &str) {
+        std::fs::write(&self.config, config).expect("a temporary file");
+        self.signal("-HUP");
+    }
+
+    /// Whether it still runs.
+    pub fn runs(&mut self) -> bool {
+        self.child.try_wait().expect("a child").is_none()
+    }
+
+    /// Waits for its end.
+    pub fn exit(&mut self) -> ExitStatus {
+        self.exit_within(LIMIT)
+    }
+
+    /// Waits for its end so long.
+    pub fn exit_within(&mut self, limit: Duration) -> ExitStatus {
+        let end = Instant::now() + limit;
+        loop {
+            if let Some(status) = self.child.try_wait().expect("a child") {
+                return status;
+            }
+            assert!(Instant::now() < end, "it does not end: {}", self.log());
+            std::thread::sleep(Duration::from_millis(5));
+        }
+    }
+}
+
+impl Drop for Program {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        self.files.iter().for_each(|file| drop(std::fs::remove_file(file)));
+    }
+}
+
+/// Runs it on a configuration that it must not accept: whether it failed, and what it said.
+pub fn refuses(config: &str) -> (bool, String) {
+    let out = Launch::text(config).output();
+    (!out.status.success(), String::from_utf8(out.stderr).expect("text"))
+}
+
+impl Owner {
+    /// A connection, if something listens there.
+    pub fn connect(address: SocketAddr) -> Option<Owner> {
+        let stream = TcpStream::connect(address).ok()?;
+        stream.set_read_timeout(Some(LIMIT)).expect("a socket option");
+        stream.set_nodelay(true).expect("a socket option");
+        Some(Owner(stream))
+    }
+}
--- /dev/null
+++ b/src/health/fleet.rs
@@ -0,0 +1,157 @@
+//! Own trouble or the fleet's: what a single placer can tell of it.
+//!
+//! Where the hosts are full, every placer refuses, and a lower weight at each of them moves nothing.
+//! Instances do not talk, so the question is which explanation this placer's own evidence leaves open.
+//! Three things speak for the fleet, and each is discounted by what could make it up here:
+//!
+//! - *Full*: hosts refuse offers for want of room, or the inventory lists little room. A host's word is
+//!   a fact whoever hears it; the inventory counts less the older it is.
+//! - *Slow*: hosts that do start take long about it. A loop that runs late sees every host as slow, so
+//!   this counts only as far as the loop was in time.
+//! - *Down*: hosts can't be reached in some zones and can in others. What fails alike in every zone is
+//!   nearer to this placer than to the hosts; [`unreached`] splits the two.
+
+use super::window::Window;
+use crate::{Detail, Micros, Outcome};
+
+const WINDOW: Micros = 5_000_000;
+/// Fewer offers than this tell nothing.
+const LEAST_OFFERS: f64 = 8.0;
+/// An offer that took this part of its class's aim at the host was slow there.
+const SLOW: f64 = 0.5;
+
+/// The hosts of one zone, as listed in service.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Zone {
+    /// How many are listed as up.
+    pub listed: u32,
+    /// Of those, how many have refused a connection: their process is gone, whoever calls.
+    pub refused: u32,
+    /// And to how many no connection comes up.
+    pub silent: u32,
+}
+
+/// The share of hosts out of reach that this placer must take on itself, and the share that is theirs.
+///
+/// A refused connection is the host's doing. Silence counts as ours as far as it is the same in all
+/// zones: the least share over the zones. With one zone there is nothing to compare, and silence counts
+/// as ours only where it covers more than half of it.
+pub fn unreached(zones: &[Zone]) -> (f64, f64) {
+    let known = zones.iter().filter(|zone| zone.listed > 0);
+    let silent = known.clone().map(|zone| f64::from(zone.silent) / f64::from(zone.listed));
+    let (zones, listed) = (known.clone().count(), known.clone().map(|z| z.listed).sum::<u32>());
+    let all = known.map(|zone| zone.refused + zone.silent).sum::<u32>();
+    if listed == 0 {
+        return (0.0, 0.0);
+    }
+    let least = silent.fold(1.0, f64::min);
+    let own = if zones > 1 || least > 0.5 { least } else { 0.0 };
+    let share = f64::from(all) / f64::from(listed);
+    (own.clamp(0.0, 1.0), (share - own).clamp(0.0, 1.0))
+}
+
+/// What speaks for the fleet as the cause.
+#[derive(Debug, Clone)]
+pub struct Fleet {
+    full: Window,
+    slow: Window,
+    timeouts: Window,
+    /// Share of the listed hosts with room for an ordinary task.
+    roomy: Option<f64>,
+    down: f64,
+}
+
+impl Default for Fleet {
+    fn default() -> Fleet {
+        let window = || Window::new(WINDOW);
+        Fleet { full: window(), slow: window(), timeouts: window(), roomy: None, down: 0.0 }
+    }
+}
+
+/// Rises from 0 at `from` to 1 at `to`.
+fn between(value: f64, from: f64, to: f64) -> f64 {
+    ((value - from) / (to - from)).clamp(0.0, 1.0)
+}
+
+impl Fleet {
+    /// An offer has ended: `stretch` is its time at the host over the aim of its class.
+    pub fn offer(&mut self, now: Micros, outcome: Outcome, detail: Detail, stretch: f64) {
+        let room = matches!(detail, Detail::NoCores | Detail::NoMemory | Detail::Busy | Detail::None);
+        let full = outcome == Outcome::Full && room;
+        self.full.add(now, f64::from(u8::from(full)), 1.0);
+        let timeout = outcome == Outcome::Timeout;
+        self.timeouts.add(now, f64::from(u8::from(timeout)), 1.0);
+        if outcome == Outcome::Ok {
+            self.slow.add(now, f64::from(u8::from(stretch >= SLOW)), 1.0);
+        }
+    }
+
+    /// What the list and the connections show.
+    pub fn looked(&mut self, roomy: Option<f64>, down: f64) {
+        (self.roomy, self.down) = (roomy, down);
+    }
+
+    /// Share of the recent offers that timed out.
+    pub fn timeouts(&self, now: Micros) -> Option<f64> {
+        self.timeouts.share(now, LEAST_OFFERS)
+    }
+
+    /// How far the fleet explains late and refused asks, 0 to 1, given how bad this placer's own loop is
+    /// and how stale its inventory.
+    pub fn explains(&self, now: Micros, loop_late: f64, feed_stale: f64) -> f64 {
+        let refusals = self.full.share(now, LEAST_OFFERS).map_or(0.0, |share| between(share, 0.15, 0.5));
+        let no_room = self.roomy.map_or(0.0, |roomy| between(1.0 - roomy, 0.6, 0.95)) * (1.0 - feed_stale);
+        let slow = self.slow.share(now, LEAST_OFFERS).map_or(0.0, |share| between(share, 0.3, 0.7));
+        let down = between(self.down, 0.1, 0.4);
+        refusals.max(no_room).max(slow * (1.0 - loop_late)).max(down)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn zone(listed: u32, refused: u32, silent: u32) -> Zone {
+        Zone { listed, refused, silent }
+    }
+
+    #[test]
+    fn silence_everywhere_is_ours_and_silence_in_a_part_is_theirs() {
+        let cases: [(&[Zone], f64, f64); 8] = [
+            (&[], 0.0, 0.0),
+            (&[zone(4, 0, 0), zone(4, 0, 0)], 0.0, 0.0),
+            // A whole room is lost.
+            (&[zone(4, 0, 4), zone(4, 0, 0), zone(4, 0, 0)], 0.0, 1.0 / 3.0),
+            // Nothing comes up anywhere.
+            (&[zone(4, 0, 4), zone(4, 0, 4)], 1.0, 0.0),
+            // Half of each room, and one room more.
+            (&[zone(4, 0, 2), zone(4, 0, 4)], 0.5, 0.25),
+            // Processes that are gone are the hosts' own.
+            (&[zone(4, 4, 0), zone(4, 4, 0)], 0.0, 1.0),
+            (&[zone(4, 0, 2)], 0.0, 0.5),
+            (&[zone(4, 0, 3), zone(0, 0, 0)], 0.75, 0.0),
+        ];
+        for (zones, own, fleet) in cases {
+            let (o, f) = unreached(zones);
+            assert!((o - own).abs() < 1e-9 && (f - fleet).abs() < 1e-9, "{zones:?}: {o} {f}");
+        }
+    }
+
+    #[test]
+    fn a_late_loop_cannot_blame_slow_hosts_but_a_refusal_counts_all_the_same() {
+        let offers = |outcome, detail, stretch| {
+            let mut fleet = Fleet::default();
+            (0..20).for_each(|_| fleet.offer(1_000_000, outcome, detail, stretch));
+            fleet
+        };
+        let slow = offers(Outcome::Ok, Detail::None, 2.0);
+        assert_eq!((slow.explains(1_000_000, 0.0, 0.0), slow.explains(1_000_000, 1.0, 0.0)), (1.0, 0.0));
+        let full = offers(Outcome::Full, Detail::NoCores, 0.0);
+        assert_eq!((full.explains(1_000_000, 0.0, 0.0), full.explains(1_000_000, 1.0, 1.0)), (1.0, 1.0));
+        let mut listed = Fleet::default();
+        listed.looked(Some(0.0), 0.0);
+        assert_eq!((listed.explains(0, 0.0, 0.0), listed.explains(0, 0.0, 1.0)), (1.0, 0.0));
+        assert_eq!(offers(Outcome::Timeout, Detail::None, 0.0).timeouts(1_000_000), Some(1.0));
+        assert_eq!(offers(Outcome::Full, Detail::NotHere, 0.0).explains(1_000_000, 0.0, 0.0), 0.0);
+    }
+}
--- /dev/null
+++ b/src/health/mod.rs
@@ -0,0 +1,648 @@
+//! What this placer tells balancers: a state, a weight, and the reasons for both.
+//!
+//! [`Health`] is a state machine without I/O. Events and the time go in; changes come out, and
+//! [`Health::report`] tells what holds. It keeps no clock and the same events give the same reports.
+//!
+//! ```text
+//!               slow start over
+//!   ┌──────────┐  weight ≥ 95   ┌────┐ weight < 85  ┌──────────┐
+//!   │ starting ├───────────────▶│ up │─────────────▶│ degraded │
+//!   └─┬──────▲─┘                └─┬──┘◀─────────────└────┬─────┘
+//!     │      │ ready              │      weight ≥ 95     │
+//!     │      │                    │ told to drain        │
+//!     │   ┌──┴───┐◀───────────────┴──────────────────────┘
+//!     └──▶│ drain│── told maint ──▶┌───────┐
+//!         │      │◀─ told to drain ─┤ maint │── ready ──▶ starting
+//!         └──┬───┘                  └───┬───┘
+//!            └───── the process ends ───┴──▶ stopped
+//! ```
+//!
+//! `starting` goes to `degraded` instead of `up` where its slow start ends below 95.
+
+pub mod drain;
+mod fleet;
+mod signal;
+mod weight;
+mod window;
+
+pub use fleet::{Zone, unreached};
+pub use signal::{Code, Ramp, Reading};
+pub use weight::{Pace, Weight};
+
+use crate::{Detail, Micros, Outcome};
+use fleet::Fleet;
+use std::collections::VecDeque;
+use std::fmt;
+use window::Window;
+
+const SECOND: Micros = 1_000_000;
+/// Transitions that are remembered.
+const HISTORY: usize = 32;
+/// The weight is steered no more often than this.
+const LOOK: Micros = 200_000;
+/// Answers, and connections, fewer than these tell nothing.
+const LEAST_ANSWERS: f64 = 8.0;
+const LEAST_CONNECTIONS: f64 = 4.0;
+/// Below the first a placer is degraded, from the second on it is up.
+const DEGRADED_BELOW: u8 = 85;
+const UP_FROM: u8 = 95;
+/// How far a placer comes up at once, of 100, and how its slow start ends.
+const FIRST_WEIGHT: f64 = 10.0;
+
+/// What the engine goes by. Every figure has its reason in `docs/design/health.md`.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Settings {
+    /// How late the loop may come round without that being counted.
+    pub turn: Micros,
+    /// How long a placer that has just come takes to full weight.
+    pub slow_start: Micros,
+    /// How long past answers, offers and connections count.
+    pub window: Micros,
+    /// How long lateness of the loop counts.
+    pub loop_window: Micros,
+    /// One ramp for each signal, in the order of [`Code::ALL`] without the last.
+    pub ramps: [Ramp; 9],
+    /// How the weight moves.
+    pub pace: Pace,
+}
+
+impl Default for Settings {
+    fn default() -> Settings {
+        let ramp = |ok, bad, step, reach| Ramp { ok, bad, step, reach };
+        Settings {
+            turn: 20_000,
+            slow_start: 10 * SECOND,
+            window: 5 * SECOND,
+            loop_window: 2 * SECOND,
+            ramps: [
+                ramp(0.05, 0.5, 0.0, 0.95),
+                ramp(1.0, 4.0, 0.0, 0.8),
+                ramp(0.1, 0.6, 0.0, 0.8),
+                ramp(0.1, 0.5, 0.0, 0.8),
+                ramp(0.1, 0.6, 0.0, 0.9),
+                ramp(2.0, 30.0, 0.25, 0.6),
+                ramp(0.8, 1.0, 0.0, 0.7),
+                ramp(0.5, 1.0, 0.0, 0.7),
+                ramp(0.0, 0.5, 0.1, 0.7),
+            ],
+            pace: Pace::default(),
+        }
+    }
+}
+
+/// What a placer says of itself.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum State {
+    /// It has just come, or come back.
+    Starting,
+    /// All is well.
+    Up,
+    /// It serves, and less than its whole portion is good for it.
+    Degraded,
+    /// It finishes what it has and wants nothing new.
+    Drain,
+    /// Its operators have taken it out.
+    Maint,
+    /// It ends.
+    Stopped,
+}
+
+impl State {
+    /// Its name on every surface.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            State::Starting => "starting",
+            State::Up => "up",
+            State::Degraded => "degraded",
+            State::Drain => "drain",
+            State::Maint => "maint",
+            State::Stopped => "stopped",
+        }
+    }
+
+    /// Whether it wants new connections.
+    pub fn serves(self) -> bool {
+        matches!(self, State::Starting | State::Up | State::Degraded)
+    }
+}
+
+impl fmt::Display for State {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
+    }
+}
+
+/// What an operator, or the system, asks for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Order {
+    /// Finish and take nothing new.
+    Drain,
+    /// Out of service.
+    Maint,
+    /// Back into service, with a slow start.
+    Ready,
+    /// The process ends.
+    Stop,
+}
+
+/// Gauges that are read a few times a second.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Gauges {
+    /// Age of the oldest ask in hand over the aim of its class.
+    pub oldest: f64,
+    /// The listed hosts by zone.
+    pub zones: Vec<Zone>,
+    /// Share of the listed hosts with room for an ordinary task; none where the list does not tell.
+    pub roomy: Option<f64>,
+    /// Descriptors in use over their budget.
+    pub descriptors: f64,
+    /// Queued bytes over their budget.
+    pub queues: f64,
+}
+
+/// What the engine is told.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Event {
+    /// The loop has come round.
+    Turn,
+    /// The gauges.
+    Look(Gauges),
+    /// An ask got its final answer: whether it was placed within its class's aim.
+    Answered {
+        /// Placed, and in time.
+        in_aim: bool,
+    },
+    /// An offer ended; `Outcome::Ok` stands for a start.
+    Offer {
+        /// How.
+        outcome: Outcome,
+        /// Why.
+        detail: Detail,
+        /// Its time at the host over the aim of its class.
+        stretch: f64,
+    },
+    /// A connection of an owner came, and was kept or turned away.
+    Connection {
+        /// Turned away.
+        turned_away: bool,
+    },
+    /// The inventory feed spoke.
+    Feed,
+    /// An order.
+    Order(Order),
+}
+
+/// A transition, and why it was made.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Transition {
+    /// When.
+    pub at: Micros,
+    /// From where.
+    pub from: State,
+    /// To where.
+    pub to: State,
+    /// The signal or order that made it.
+    pub why: &'static str,
+    /// The weight told from then on.
+    pub weight: u8,
+}
+
+/// What has changed with an event.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Change {
+    /// The state.
+    State(Transition),
+    /// The weight: before, after, and the signal that holds it down, if one does.
+    Weight(u8, u8, Option<Code>),
+}
+
+/// All that can be told.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Report {
+    /// The state.
+    pub state: State,
+    /// The weight, 1 to 100; of states that serve.
+    pub weight: u8,
+    /// Since when the state holds.
+    pub since: Micros,
+    /// The signal that holds the weight down most, if one does.
+    pub cause: Option<Code>,
+    /// How far the fleet explains what goes badly.
+    pub fleet: f64,
+    /// Each signal.
+    pub signals: Vec<Reading>,
+    /// The latest transitions, oldest first.
+    pub history: Vec<Transition>,
+}
+
+/// The engine.
+#[derive(Debug, Clone)]
+pub struct Health {
+    settings: Settings,
+    state: State,
+    since: Micros,
+    /// When the slow start began.
+    came: Micros,
+    weight: Weight,
+    turned: Micros,
+    steered: Option<Micros>,
+    late: Window,
+    answers: Window,
+    connections: Window,
+    fleet: Fleet,
+    feed_at: Micros,
+    gauges: Gauges,
+    readings: Vec<Reading>,
+    explained: f64,
+    history: VecDeque<Transition>,
+}
+
+impl Health {
+    /// An engine that starts at `now`. The list that a placer is started with counts as news.
+    pub fn new(settings: Settings, now: Micros) -> Health {
+        let window = || Window::new(settings.window);
+        Health {
+            weight: Weight::new(settings.pace, FIRST_WEIGHT, now),
+            late: Window::new(settings.loop_window),
+            answers: window(),
+            connections: window(),
+            settings,
+            state: State::Starting,
+            since: now,
+            came: now,
+            turned: now,
+            steered: None,
+            fleet: Fleet::default(),
+            feed_at: now,
+            gauges: Gauges::default(),
+            readings: Vec::new(),
+            explained: 0.0,
+            history: VecDeque::new(),
+        }
+    }
+
+    /// Takes an event, and answers what it has changed.
+    pub fn handle(&mut self, now: Micros, event: Event) -> Vec<Change> {
+        self.turn(now);
+        match event {
+            Event::Turn => {}
+            Event::Look(gauges) => {
+                let (_, theirs) = unreached(&gauges.zones);
+                self.fleet.looked(gauges.roomy, theirs);
+                self.gauges = gauges;
+            }
+            Event::Answered { in_aim } => self.answers.add(now, f64::from(u8::from(!in_aim)), 1.0),
+            Event::Offer { outcome, detail, stretch } => self.fleet.offer(now, outcome, detail, stretch),
+            Event::Connection { turned_away } => {
+                self.connections.add(now, f64::from(u8::from(turned_away)), 1.0);
+            }
+            Event::Feed => self.feed_at = self.feed_at.max(now),
+            Event::Order(order) => return self.obey(now, order),
+        }
+        self.steer(now)
+    }
+
+    /// What holds now. A loop that has stood still until this very moment counts as late at once.
+    pub fn report(&mut self, now: Micros) -> (Report, Vec<Change>) {
+        let changes = self.handle(now, Event::Turn);
+        let worst = self.worst().map(|reading| reading.code);
+        let report = Report {
+            state: self.state,
+            weight: self.weight.told(),
+            since: self.since,
+            cause: worst,
+            fleet: self.explained,
+            signals: self.readings.clone(),
+            history: self.history.iter().copied().collect(),
+        };
+        (report, changes)
+    }
+
+    /// The state.
+    pub fn state(&self) -> State {
+        self.state
+    }
+
+    /// The weight that is told.
+    pub fn weight(&self) -> u8 {
+        self.weight.told()
+    }
+
+    /// Time beyond what a turn of the loop may take was lost to whoever had the core.
+    fn turn(&mut self, now: Micros) {
+        let gap = now - self.turned;
+        if gap > self.settings.turn {
+            self.late.add(now, gap as f64, 0.0);
+        }
+        self.turned = self.turned.max(now);
+    }
+
+    fn obey(&mut self, now: Micros, order: Order) -> Vec<Change> {
+        let (to, why) = match (order, self.state) {
+            (_, State::Stopped) => return Vec::new(),
+            (Order::Stop, _) => (State::Stopped, "told-stop"),
+            (Order::Drain, State::Drain) | (Order::Maint, State::Maint) => return Vec::new(),
+            (Order::Drain, _) => (State::Drain, "told-drain"),
+            (Order::Maint, _) => (State::Maint, "told-maint"),
+            // Balancers that took it out give it their whole portion back at once: it starts slowly.
+            (Order::Ready, State::Drain | State::Maint) => {
+                self.came = now;
+                self.weight = Weight::new(self.settings.pace, FIRST_WEIGHT, now);
+                (State::Starting, "told-ready")
+            }
+            (Order::Ready, _) => return Vec::new(),
+        };
+        vec![self.go(now, to, why)]
+    }
+
+    fn go(&mut self, now: Micros, to: State, why: &'static str) -> Change {
+        let from = std::mem::replace(&mut self.state, to);
+        self.since = now;
+        let transition = Transition { at: now, from, to, why, weight: self.weight.told() };
+        if self.history.len() >= HISTORY {
+            self.history.pop_front();
+        }
+        self.history.push_back(transition);
+        Change::State(transition)
+    }
+
+    /// The tightest signal that leaves less than the whole weight.
+    fn worst(&self) -> Option<&Reading> {
+        let tight = self.readings.iter().filter(|reading| reading.cap < 100.0);
+        tight.min_by(|a, b| a.cap.total_cmp(&b.cap))
+    }
+
+    fn read(&mut self, now: Micros) {
+        let (late, _) = self.late.sums(now);
+        let (unreached, _) = unreached(&self.gauges.zones);
+        let measured = [
+            (Code::LoopLate, (late / self.late.length() as f64).min(1.0)),
+            (Code::AskAge, self.gauges.oldest),
+            (Code::OutOfAim, self.answers.share(now, LEAST_ANSWERS).unwrap_or(0.0)),
+            (Code::OfferTimeout, self.fleet.timeouts(now).unwrap_or(0.0)),
+            (Code::Unreached, unreached),
+            (Code::FeedAge, (now - self.feed_at).max(0) as f64 / SECOND as f64),
+            (Code::Descriptors, self.gauges.descriptors),
+            (Code::Queues, self.gauges.queues),
+            (Code::TurnedAway, self.connections.share(now, LEAST_CONNECTIONS).unwrap_or(0.0)),
+        ];
+        let badness = |code: Code| {
+            let found = measured.iter().zip(&self.settings.ramps).find(|((c, _), _)| *c == code);
+            found.map_or(0.0, |((_, value), ramp)| ramp.badness(*value))
+        };
+        self.explained = self.fleet.explains(now, badness(Code::LoopLate), badness(Code::FeedAge));
+        let unexplained = 1.0 - self.explained;
+        self.readings.clear();
+        for ((code, value), ramp) in measured.into_iter().zip(&self.settings.ramps) {
+            let badness = ramp.badness(value);
+            let own = if code.shared() { badness * unexplained } else { badness };
+            self.readings.push(Reading { code, value, badness, own, cap: ramp.cap(own) });
+        }
+        let age = (now - self.came) as f64 / self.settings.slow_start.max(1) as f64;
+        let young = (1.0 - age).clamp(0.0, 1.0);
+        let cap = FIRST_WEIGHT + (100.0 - FIRST_WEIGHT) * (1.0 - young);
+        self.readings.push(Reading { code: Code::SlowStart, value: young, badness: young, own: young, cap });
+    }
+
+    fn steer(&mut self, now: Micros) -> Vec<Change> {
+        if self.steered.is_some_and(|at| now - at < LOOK) {
+            return Vec::new();
+        }
+        self.steered = Some(now);
+        self.read(now);
+        let (target, cause) = self.worst().map_or((100.0, None), |worst| (worst.cap, Some(worst.code)));
+        let before = self.weight.told();
+        let mut changes = Vec::new();
+        if self.weight.steer(now, target, cause) {
+            changes.push(Change::Weight(before, self.weight.told(), cause));
+        }
+        let (weight, started) = (self.weight.told(), now - self.came >= self.settings.slow_start);
+        let why = cause.map_or("signals-clear", Code::as_str);
+        match self.state {
+            State::Starting if started && weight >= UP_FROM => {
+                changes.push(self.go(now, State::Up, "slow-start-over"));
+            }
+            // What holds it below is no slow start any more.
+            State::Starting if now - self.came >= 2 * self.settings.slow_start => {
+                changes.push(self.go(now, State::Degraded, why));
+            }
+            State::Up if weight < DEGRADED_BELOW => changes.push(self.go(now, State::Degraded, why)),
+            State::Degraded if weight >= UP_FROM => {
+                changes.push(self.go(now, State::Up, "signals-clear"));
+            }
+            _ => {}
+        }
+        changes
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const MS: Micros = 1_000;
+
+    /// An engine whose loop turns every 5 ms and whose feed speaks each second.
+    struct Run {
+        health: Health,
+        now: Micros,
+        feed: bool,
+        gauges: Gauges,
+    }
+
+    impl Run {
+        fn new() -> Run {
+            let now = 1_000 * SECOND;
+            Run { health: Health::new(Settings::default(), now), now, feed: true, gauges: Gauges::default() }
+        }
+
+        /// One that is up.
+        fn up() -> Run {
+            let mut run = Run::new();
+            run.pass(15 * SECOND);
+            assert_eq!((run.health.state(), run.health.weight()), (State::Up, 100));
+            run
+        }
+
+        fn pass(&mut self, span: Micros) -> Vec<Change> {
+            self.pass_with(span, |_, _| {})
+        }
+
+        /// Lets time pass; `each` is called every 100 ms.
+        fn pass_with(&mut self, span: Micros, mut each: impl FnMut(&mut Health, Micros)) -> Vec<Change> {
+            let (end, mut changes) = (self.now + span, Vec::new());
+            while self.now < end {
+                self.now += 5 * MS;
+                changes.extend(self.health.handle(self.now, Event::Turn));
+                if self.now % (250 * MS) == 0 {
+                    changes.extend(self.health.handle(self.now, Event::Look(self.gauges.clone())));
+                }
+                if self.now % (100 * MS) == 0 {
+                    each(&mut self.health, self.now);
+                }
+                if self.feed && self.now % SECOND == 0 {
+                    changes.extend(self.health.handle(self.now, Event::Feed));
+                }
+            }
+            changes
+        }
+
+        fn cause(&mut self) -> Option<Code> {
+            self.health.report(self.now).0.cause
+        }
+    }
+
+    #[test]
+    fn a_placer_starts_slowly_and_is_up_once_that_is_over() {
+        let mut run = Run::new();
+        assert_eq!((run.health.state(), run.health.weight()), (State::Starting, 10));
+        run.pass(5 * SECOND);
+        assert!((40..=60).contains(&run.health.weight()), "{}", run.health.weight());
+        assert_eq!(run.cause(), Some(Code::SlowStart));
+        let changes = run.pass(10 * SECOND);
+        assert_eq!((run.health.state(), run.health.weight(), run.cause()), (State::Up, 100, None));
+        assert!(changes.iter().any(|c| matches!(c, Change::State(t) if t.why == "slow-start-over")));
+    }
+
+    #[test]
+    fn a_loop_that_stands_still_counts_at_the_first_poll_after_it() {
+        let mut run = Run::up();
+        run.now += 700 * MS;
+        let (report, _) = run.health.report(run.now);
+        assert_eq!((report.cause, report.weight < 80), (Some(Code::LoopLate), true), "{report:?}");
+        // Turns that are a little late do not.
+        let mut run = Run::up();
+        for _ in 0..400 {
+            run.now += 15 * MS;
+            run.health.handle(run.now, Event::Turn);
+            run.health.handle(run.now, Event::Feed);
+        }
+        assert_eq!(run.health.weight(), 100);
+    }
+
+    #[test]
+    fn a_silent_feed_shows_within_3_s_and_never_takes_the_weight_to_nothing() {
+        let mut run = Run::up();
+        run.feed = false;
+        run.pass(3 * SECOND);
+        assert!(run.health.weight() < 100, "{}", run.health.weight());
+        assert_eq!(run.cause(), Some(Code::FeedAge));
+        let at_3 = run.health.weight();
+        run.pass(10 * SECOND);
+        let at_13 = run.health.weight();
+        run.pass(300 * SECOND);
+        assert!(at_13 < at_3 && run.health.weight() < at_13, "the longer, the less");
+        assert_eq!((run.health.weight(), run.health.state()), (40, State::Degraded));
+        run.feed = true;
+        run.pass(20 * SECOND);
+        assert_eq!((run.health.weight(), run.health.state()), (100, State::Up));
+    }
+
+    #[test]
+    fn late_answers_count_only_as_far_as_the_fleet_does_not_explain_them() {
+        let late = |health: &mut Health, now| {
+            health.handle(now, Event::Answered { in_aim: false });
+        };
+        let mut alone = Run::up();
+        alone.gauges.oldest = 3.0;
+        alone.pass_with(10 * SECOND, late);
+        assert!(alone.health.weight() <= 30, "{}", alone.health.weight());
+        // The same, with hosts that refuse.
+        let mut full = Run::up();
+        for oldest in [0.0, 3.0] {
+            full.gauges.oldest = oldest;
+            full.pass_with(5 * SECOND, |health, now| {
+                late(health, now);
+                let offer = Event::Offer { outcome: Outcome::Full, detail: Detail::NoCores, stretch: 0.0 };
+                health.handle(now, offer);
+            });
+        }
+        assert!(full.health.weight() >= 95, "{}", full.health.weight());
+        assert!(full.health.report(full.now).0.fleet > 0.95);
+        // And with a room that is lost, hosts silent there alone.
+        let mut lost = Run::up();
+        lost.gauges.oldest = 3.0;
+        lost.gauges.zones =
+            vec![Zone { listed: 4, silent: 4, ..Zone::default() }, Zone { listed: 4, ..Zone::default() }];
+        lost.pass_with(10 * SECOND, late);
+        assert!(lost.health.weight() >= 95, "{}", lost.health.weight());
+    }
+
+    #[test]
+    fn each_own_signal_lowers_the_weight_and_is_named() {
+        type Spoil = fn(&mut Gauges);
+        let bad: [(Code, Spoil); 4] = [
+            (Code::Descriptors, |g| g.descriptors = 0.97),
+            (Code::Queues, |g| g.queues = 0.9),
+            (Code::Unreached, |g| g.zones = vec![Zone { listed: 4, silent: 3, ..Zone::default() }; 2]),
+            (Code::AskAge, |g| g.oldest = 3.5),
+        ];
+        for (code, spoil) in bad {
+            let mut run = Run::up();
+            spoil(&mut run.gauges);
+            run.pass(5 * SECOND);
+            assert!(run.health.weight() < 60, "{code}: {}", run.health.weight());
+            assert_eq!((run.cause(), run.health.state()), (Some(code), State::Degraded));
+        }
+        let events: [(Code, Event); 2] = [
+            (Code::TurnedAway, Event::Connection { turned_away: true }),
+            (
+                Code::OfferTimeout,
+                Event::Offer { outcome: Outcome::Timeout, detail: Detail::None, stretch: 1.0 },
+            ),
+        ];
+        for (code, event) in events {
+            let mut run = Run::up();
+            run.pass_with(5 * SECOND, |health, now| {
+                health.handle(now, event.clone());
+            });
+            assert!(run.health.weight() < 60, "{code}: {}", run.health.weight());
+            assert_eq!(run.cause(), Some(code));
+        }
+    }
+
+    #[test]
+    fn orders_go_where_the_drawing_says_and_nowhere_else() {
+        use Order::*;
+        use State as S;
+        let cases: [(&[Order], S); 10] = [
+            (&[Drain], S::Drain),
+            (&[Drain, Ready], S::Starting),
+            (&[Drain, Maint], S::Maint),
+            (&[Maint, Drain], S::Drain),
+            (&[Maint, Ready], S::Starting),
+            (&[Ready], S::Up),
+            (&[Drain, Drain], S::Drain),
+            (&[Drain, Stop], S::Stopped),
+            (&[Stop, Ready], S::Stopped),
+            (&[Stop, Drain], S::Stopped),
+        ];
+        for (orders, state) in cases {
+            let mut run = Run::up();
+            for order in orders {
+                run.health.handle(run.now, Event::Order(*order));
+            }
+            assert_eq!(run.health.state(), state, "{orders:?}");
+        }
+        // Out of service the weight is still steered, and no signal ends the state.
+        let mut run = Run::up();
+        run.health.handle(run.now, Event::Order(Drain));
+        run.feed = false;
+        run.pass(60 * SECOND);
+        assert_eq!(run.health.state(), S::Drain);
+        run.health.handle(run.now, Event::Order(Ready));
+        assert_eq!(run.health.weight(), 10, "back with a slow start");
+    }
+
+    #[test]
+    fn the_history_is_bounded() {
+        let mut run = Run::up();
+        for _ in 0..100 {
+            run.health.handle(run.now, Event::Order(Order::Drain));
+            run.health.handle(run.now, Event::Order(Order::Ready));
+        }
+        let (report, _) = run.health.report(run.now);
+        assert_eq!(report.history.len(), HISTORY);
+        assert_eq!(report.history.last().map(|t| (t.from, t.to)), Some((State::Drain, State::Starting)));
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -30,6 +30,7 @@
 #![forbid(unsafe_code)]
 
 pub mod facade;
+pub mod health;
 mod interface;
 mod ledger;
 mod policy;
--- a/tests/placer.rs
+++ b/tests/placer.rs
@@ -2,11 +2,8 @@
 
 #![recursion_limit = "256"]
 
-#[path = "common/peers.rs"]
-mod peers;
-
-use peers::*;
 use simd_json::prelude::*;
+use standin::*;
 use std::time::{Duration, Instant};
 
 // ---- Rule 1: one final answer ----
@@ -311,7 +308,7 @@
     {
         let mut owner = program.owner();
         owner.say(bad);
-        assert_eq!(owner.next(), None, "{bad:?}");
+        assert_eq!(owner.next_message(), None, "{bad:?}");
     }
     // A set-up of an unknown class, and one with nothing in it, fail; the connection goes on.
     good.set_up(1, &Ask { class: "unheard", ..QUICK });
--- a/tests/rough.rs
+++ b/tests/rough.rs
@@ -2,12 +2,9 @@
 
 #![recursion_limit = "256"]
 
-#[path = "common/peers.rs"]
-mod peers;
-
-use peers::*;
 use simd_json::json;
 use simd_json::prelude::*;
+use standin::*;
 use std::time::{Duration, Instant};
 
 /// A bad client is owed a word or a close within 3 s.
@@ -65,10 +62,10 @@
     let id = conns[0].offer();
     let mut other = program.owner();
     other.set_up(1, &Ask { service: 8, ..QUICK });
-    assert_eq!(other.next(), None, "the second connection ends");
+    assert_eq!(other.next_message(), None, "the second connection ends");
     let mut other = program.owner();
     other.say(&bytes(1, 1, &[]));
-    assert_eq!(other.next(), None, "nor is a failure under its id told");
+    assert_eq!(other.next_message(), None, "nor is a failure under its id told");
     // Given up from elsewhere it is still owed.
     let mut other = program.owner();
     other.release(1, 16);
@@ -78,7 +75,7 @@
     // Two set-ups under one number end their connection, and the offer is given up.
     other.set_up(2, &Ask { service: 8, ..QUICK });
     other.set_up(2, &Ask { service: 8, ..QUICK });
-    assert_eq!(other.next(), None);
+    assert_eq!(other.next_message(), None);
     conns[0].expect("new");
     assert_eq!(conns[0].expect("down").get_str("ref"), Some(hex(2).as_str()));
 }
@@ -96,7 +93,7 @@
     let mut once = program.owner();
     assert!(once.test());
     for owner in [&mut silent, &mut half, &mut after] {
-        assert_eq!(owner.next(), None);
+        assert_eq!(owner.next_message(), None);
     }
     assert!(started.elapsed() < OWED, "{:?}", started.elapsed());
     assert!(once.test());
@@ -109,13 +106,13 @@
     owner.release(77, 16);
     assert_eq!((owner.read().kind, owner.test()), (16, true), "of a task that is not known");
     owner.say(&bytes(99, 5, &[]));
-    assert_eq!(owner.next(), None, "of an unknown type");
+    assert_eq!(owner.next_message(), None, "of an unknown type");
     // The word comes before the end, though more is under way that nobody reads.
     let mut owner = program.owner();
     owner.say(&bytes(1, 4, &parameters("6000", "nobody", "")));
     owner.say(&[0xff; 300_000]);
     assert_eq!(owner.read().cause(), 47);
-    assert_eq!(owner.next(), None);
+    assert_eq!(owner.next_message(), None);
 }
 
 // Found on days with clients that ask once and keep their connection: at the limit every accept failed
