The weight in a closed loop with 3 and 30 placers, beside the naive rule

A weight acts through balancers that poll and act late, so it was tried in a model of the whole loop. Found there: halving at every look overshoots to the floor, so falls wait one and a half times the reaction of the slowest balancer; climbing to the weight that failed before repeats the failure, so it is kept as a ceiling (plateau at eight tenths, longer each time it proves right); a ceiling learned before the fleet's evidence came is taken back.

--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -4,6 +4,7 @@
 
 #![recursion_limit = "256"]
 
+pub mod balance;
 mod config;
 mod feed;
 mod host;
--- a/src/health/fleet.rs
+++ b/src/health/fleet.rs
@@ -99,7 +99,7 @@
     /// How far the fleet explains late and refused asks, 0 to 1, given how bad this placer's own loop is
     /// and how stale its inventory.
     pub fn explains(&self, now: Micros, loop_late: f64, feed_stale: f64) -> f64 {
-        let refusals = self.full.share(now, LEAST_OFFERS).map_or(0.0, |share| between(share, 0.15, 0.5));
+        let refusals = self.full.share(now, LEAST_OFFERS).map_or(0.0, |share| between(share, 0.1, 0.4));
         let no_room = self.roomy.map_or(0.0, |roomy| between(1.0 - roomy, 0.6, 0.95)) * (1.0 - feed_stale);
         let slow = self.slow.share(now, LEAST_OFFERS).map_or(0.0, |share| between(share, 0.3, 0.7));
         let down = between(self.down, 0.1, 0.4);
