--- /dev/null
+++ b/src/cli.rs
@@ -0,0 +1,240 @@
+//! The command line.
+
+use crate::ctl;
+use crate::net::{self, config, log};
+use crate::operator::{self, Loaded, LogFormat, LogLevel, Operator};
+use clap::{Args, CommandFactory, Parser, Subcommand};
+use std::io::Write;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+/// Exit code of `check` for files with errors, as of `clap` for words that can't be read.
+const BAD_INPUT: u8 = 2;
+
+/// A task placer: takes tasks from owners, offers each to one host at a time, and answers exactly once.
+///
+/// Without a command it serves on the configuration that LB_CONFIG names.
+#[derive(Debug, Parser)]
+#[command(name = "anisehead", version, max_term_width = 100)]
+struct Cli {
+    #[command(subcommand)]
+    command: Option<Command>,
+    #[command(flatten)]
+    files: Files,
+    #[command(flatten)]
+    log: LogArgs,
+}
+
+#[derive(Debug, Args)]
+struct Files {
+    /// The deployment's configuration, JSON
+    #[arg(long, value_name = "FILE", env = "LB_CONFIG", global = true)]
+    config: Option<PathBuf>,
+    /// The operator's file, TOML; without one nothing that it could switch on is on
+    #[arg(long, value_name = "FILE", env = "ANISEHEAD_OPERATOR", global = true)]
+    operator: Option<PathBuf>,
+}
+
+#[derive(Debug, Args)]
+struct LogArgs {
+    /// How lines of the log look; goes before the operator's file
+    #[arg(long, value_enum, global = true)]
+    log_format: Option<LogFormat>,
+    /// What is logged; goes before the operator's file
+    #[arg(long, value_enum, global = true)]
+    log_level: Option<LogLevel>,
+}
+
+#[derive(Debug, Subcommand)]
+enum Command {
+    /// Serve until SIGTERM (the same as no command)
+    Serve,
+    /// Read both files and print each value in force with its origin, or every error found
+    Check,
+    /// Give an order to a running placer, or ask how it is
+    #[command(subcommand)]
+    Ctl(CtlCommand),
+    /// Print completions for a shell
+    Completions {
+        /// The shell
+        shell: clap_complete::Shell,
+    },
+}
+
+#[derive(Debug, Subcommand)]
+enum CtlCommand {
+    /// Tell balancers to send nothing new, and finish what is in hand; the process goes on
+    Drain(ctl::Target),
+    /// Take a drain or maintenance back: balancers give its portion back slowly
+    Ready(ctl::Target),
+    /// Out of service: balancers send nothing and stop checking
+    Maint(ctl::Target),
+    /// Print state, weight, and what each signal has to do with it
+    State {
+        #[command(flatten)]
+        target: ctl::Target,
+        /// As JSON, as the socket gave it
+        #[arg(long)]
+        json: bool,
+    },
+}
+
+/// Reads the command line and does what it says.
+pub fn run() -> ExitCode {
+    let cli = Cli::parse();
+    match &cli.command {
+        None | Some(Command::Serve) => serve(&cli),
+        Some(Command::Check) => check(&cli),
+        Some(Command::Ctl(command)) => {
+            let (order, target, json) = match command {
+                CtlCommand::Drain(target) => (ctl::Order::Drain, target, false),
+                CtlCommand::Ready(target) => (ctl::Order::Ready, target, false),
+                CtlCommand::Maint(target) => (ctl::Order::Maint, target, false),
+                CtlCommand::State { target, json } => (ctl::Order::State, target, *json),
+            };
+            ctl::send(order, target, cli.files.operator.as_deref(), json)
+        }
+        Some(Command::Completions { shell }) => {
+            clap_complete::generate(*shell, &mut Cli::command(), "anisehead", &mut std::io::stdout());
+            ExitCode::SUCCESS
+        }
+    }
+}
+
+/// Prints a line on standard error; a standard error that is closed stops nothing.
+pub fn complain(line: &str) {
+    let _ = writeln!(std::io::stderr(), "{line}");
+}
+
+fn load_operator(path: Option<&Path>) -> Loaded {
+    path.map_or_else(Loaded::default, operator::load)
+}
+
+/// What is wrong between the two files.
+fn disagreements(config: &config::Config, operator: &Operator) -> Vec<(&'static str, String)> {
+    let mut found = Vec::new();
+    let health = &operator.health;
+    for (field, addresses) in [("health.agent", &health.agent), ("health.http", &health.http)] {
+        if addresses.contains(&config.listen) {
+            found.push((field, format!("{} is where owners connect (listen)", config.listen)));
+        }
+    }
+    // Owners hold at most a third of the descriptors; hosts and the placer itself need theirs.
+    let most = config.limits.sockets / 4;
+    if health.listens() && health.connections > most {
+        let what = format!(
+            "{} of limits.sockets {} is more than a quarter, {most}",
+            health.connections, config.limits.sockets
+        );
+        found.push(("health.connections", what));
+    }
+    let queues = config.limits.memory / 16;
+    if operator.log.queue > queues {
+        let what = format!("{} is more than a sixteenth of limits.memory_mb, {queues}", operator.log.queue);
+        found.push(("log.queue-bytes", what));
+    }
+    found
+}
+
+fn serve(cli: &Cli) -> ExitCode {
+    let config = match config::load(cli.files.config.as_deref()) {
+        Ok(config) => config,
+        Err(problem) => {
+            complain(&format!("anisehead: {problem}"));
+            return ExitCode::FAILURE;
+        }
+    };
+    let loaded = load_operator(cli.files.operator.as_deref());
+    let mut operator = loaded.operator;
+    if let Some(path) = cli.files.operator.as_deref() {
+        let mut wrong: Vec<String> =
+            loaded.problems.iter().map(|p| p.line(&path.to_string_lossy())).collect();
+        let between = disagreements(&config, &operator);
+        wrong.extend(between.iter().map(|(field, what)| format!("{}: {field}: {what}", path.display())));
+        if !wrong.is_empty() {
+            wrong.iter().for_each(|line| complain(&format!("anisehead: {line}")));
+            return ExitCode::FAILURE;
+        }
+    }
+    operator.log.format = cli.log.log_format.unwrap_or(operator.log.format);
+    operator.log.level = cli.log.log_level.unwrap_or(operator.log.level);
+    log::start(&operator.log);
+    let served = net::serve(config, cli.files.config.clone(), operator);
+    let code = match served {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(problem) => {
+            tracing::error!(%problem, "can't serve");
+            ExitCode::FAILURE
+        }
+    };
+    log::finish();
+    code
+}
+
+fn check(cli: &Cli) -> ExitCode {
+    let mut wrong = Vec::new();
+    let config = match config::load(cli.files.config.as_deref()) {
+        Ok(config) => Some(config),
+        Err(problem) => {
+            wrong.push(problem.to_string());
+            None
+        }
+    };
+    let loaded = load_operator(cli.files.operator.as_deref());
+    let name = cli.files.operator.as_deref().map(|p| p.to_string_lossy().into_owned());
+    let name = name.unwrap_or_else(|| "no operator's file".to_string());
+    wrong.extend(loaded.problems.iter().map(|problem| problem.line(&name)));
+    if let Some(config) = &config {
+        let between = disagreements(config, &loaded.operator);
+        wrong.extend(between.iter().map(|(field, what)| format!("{name}: {field}: {what}")));
+    }
+    if !wrong.is_empty() {
+        wrong.iter().for_each(|line| complain(line));
+        return ExitCode::from(BAD_INPUT);
+    }
+    let mut out = std::io::stdout().lock();
+    let mut say = |line: String| {
+        let _ = writeln!(out, "{line}");
+    };
+    if let Some(config) = &config {
+        let from = cli.files.config.as_deref().map(|p| p.display().to_string()).unwrap_or_default();
+        for (field, value) in config.in_force() {
+            say(format!("{field} = {value}  # {from}"));
+        }
+    }
+    for value in &loaded.in_force {
+        let origin = value.line.map_or_else(|| "default".to_string(), |line| format!("{name}:{line}"));
+        say(format!("{} = {}  # {origin}", value.field, value.value));
+    }
+    if let Some(format) = cli.log.log_format {
+        say(format!("log.format = \"{format:?}\"  # --log-format").to_lowercase());
+    }
+    if let Some(level) = cli.log.log_level {
+        say(format!("log.level = \"{level:?}\"  # --log-level").to_lowercase());
+    }
+    ExitCode::SUCCESS
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_command_line_holds_together() {
+        Cli::command().debug_assert();
+        for words in [
+            &["anisehead"][..],
+            &["anisehead", "serve", "--operator", "f.toml"],
+            &["anisehead", "--operator", "f.toml", "check"],
+            &["anisehead", "ctl", "state", "--json", "--socket", "/run/s"],
+            &["anisehead", "completions", "bash"],
+        ] {
+            assert!(Cli::try_parse_from(words).is_ok(), "{words:?}");
+        }
+        for words in
+            [&["anisehead", "sevre"][..], &["anisehead", "--log-level", "loud"], &["anisehead", "ctl"]]
+        {
+            assert!(Cli::try_parse_from(words).is_err(), "{words:?}");
+        }
+    }
+}
--- a/src/facade.rs
+++ b/src/facade.rs
@@ -153,12 +153,20 @@
     Note(String),
 }
 
+/// What can be asked of a class.
+struct Most {
+    aim: Micros,
+    deadline: Micros,
+    /// The cores and memory of the largest machine for it.
+    size: [f64; 2],
+}
+
 /// The decision module behind blocking calls.
 pub struct Facade {
     placer: Placer,
     names: Names,
-    /// Each class's deadline, and the cores and memory of the largest machine for it.
-    most: Vec<(Micros, [f64; 2])>,
+    most: Vec<Most>,
+    ordinary: Option<[f64; 2]>,
     timers: BTreeSet<(Micros, TimerToken)>,
     feed_up: bool,
     /// The module has asked for the list and has no answer yet.
@@ -174,10 +182,12 @@
             let size = kinds.map(|(_, kind)| {
                 [kind.cores * settings.accepts_cores, kind.memory * settings.accepts_memory]
             });
-            (class.deadline, size.fold([0.0; 2], |a, b| [f64::max(a[0], b[0]), f64::max(a[1], b[1])]))
+            let size = size.fold([0.0; 2], |a, b| [f64::max(a[0], b[0]), f64::max(a[1], b[1])]);
+            Most { aim: class.aim, deadline: class.deadline, size }
         };
         Facade {
             most: settings.classes.iter().map(most).collect(),
+            ordinary: settings.list_shows_room.then_some([settings.mean_cores, settings.mean_memory]),
             placer: Placer::new(settings, seed),
             names,
             timers: BTreeSet::new(),
@@ -191,6 +201,17 @@
         &self.names
     }
 
+    /// The aim of a class, as the settings name it.
+    pub fn aim(&self, class: &str) -> Option<Micros> {
+        let class = self.names.classes.iter().position(|name| name == class)?;
+        self.most.get(class).map(|most| most.aim)
+    }
+
+    /// Cores and memory of an ordinary task, where the list shows what hosts have left.
+    pub fn ordinary(&self) -> Option<[f64; 2]> {
+        self.ordinary
+    }
+
     /// Takes a task to place.
     pub fn pick(&mut self, now: Micros, ticket: Ticket, ask: &Ask) -> Result<Vec<Verdict>, Unfit> {
         let event = Event::Request(self.task(ticket, ask)?);
@@ -265,7 +286,7 @@
     /// machines against asks that every machine must turn away. One that stands already waits for nothing.
     pub fn check(&self, ask: &Ask, stands: bool) -> Result<(), Unfit> {
         let class = self.names.classes.iter().position(|n| *n == ask.class);
-        let Some((deadline, size)) = class.and_then(|class| self.most.get(class)) else {
+        let Some(Most { deadline, size, .. }) = class.and_then(|class| self.most.get(class)) else {
             return Err(Unfit("unknown class"));
         };
         let tenant = ask.tenant.as_ref().is_none_or(|tenant| self.names.tenants.contains(tenant));
@@ -273,7 +294,7 @@
             return Err(Unfit("unknown tenant"));
         }
         // Twice the size: kinds state what is usual, and a machine may be larger.
-        let mut asks = [ask.cores, ask.memory].into_iter().zip(size);
+        let mut asks = [ask.cores, ask.memory].into_iter().zip(size.iter().copied());
         if asks.any(|(asked, most)| !(0.0..=2.0 * most).contains(&asked)) {
             return Err(Unfit("more than any machine has"));
         }
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -8,6 +8,7 @@
 use simd_json::prelude::*;
 use std::fmt;
 use std::net::SocketAddr;
+use std::path::Path;
 
 /// What a placer is told at its start.
 pub struct Config {
@@ -31,6 +32,30 @@
     pub limits: Limits,
 }
 
+impl Config {
+    /// What `anisehead check` tells of it: fields and values.
+    pub fn in_force(&self) -> Vec<(String, String)> {
+        let up = self.known.iter().filter_map(|line| line.members.as_ref()).flat_map(|(_, hosts)| hosts);
+        let names = |names: &[String]| names.join(",");
+        [
+            ("name", self.name.clone()),
+            ("listen", self.listen.to_string()),
+            ("feed", self.feed.to_string()),
+            ("seed", format!("{:016x}", self.seed)),
+            ("known.n", self.known_to.to_string()),
+            ("known.entries", up.count().to_string()),
+            ("limits.sockets", self.limits.sockets.to_string()),
+            ("limits.memory_mb", (self.limits.memory / 1_048_576).to_string()),
+            ("settings.services", names(&self.names.classes)),
+            ("settings.realms", names(&self.names.tenants)),
+            ("settings.models", names(&self.names.kinds)),
+            ("settings.zones", names(&self.names.zones)),
+        ]
+        .map(|(field, value)| (field.to_string(), value))
+        .to_vec()
+    }
+}
+
 /// What the process may hold. Without a word on it, what the deployment's smallest machines have.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Limits {
@@ -68,10 +93,11 @@
     ConfigError { field: field.to_string(), what: what.to_string() }
 }
 
-/// Reads the file that `LB_CONFIG` names.
-pub fn load() -> Result<Config, ConfigError> {
-    let path = std::env::var("LB_CONFIG").map_err(|e| error("LB_CONFIG", e))?;
-    let mut text = std::fs::read(&path).map_err(|e| error("LB_CONFIG", format_args!("{path}: {e}")))?;
+/// Reads the file that `--config` or `LB_CONFIG` names.
+pub fn load(path: Option<&Path>) -> Result<Config, ConfigError> {
+    let path = path.ok_or_else(|| error("LB_CONFIG", "names no file, nor does --config"))?;
+    let read = std::fs::read(path);
+    let mut text = read.map_err(|e| error("LB_CONFIG", format_args!("{}: {e}", path.display())))?;
     parse(&mut text)
 }
 
--- a/src/net/conn.rs
+++ b/src/net/conn.rs
@@ -31,6 +31,11 @@
     MOST_QUEUED_IN_ALL.set(bytes);
 }
 
+/// Bytes queued on all connections over how many may be.
+pub fn queued_share() -> f64 {
+    QUEUED.get() as f64 / MOST_QUEUED_IN_ALL.get().max(1) as f64
+}
+
 /// Why a connection ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum End {
@@ -60,6 +65,8 @@
     Unspoken,
     /// Its descriptor is needed for another.
     Crowded,
+    /// It carries no task, and the process is taken out of service.
+    Draining,
     /// A set-up under the id of another that is open.
     IdInUse,
 }
@@ -80,6 +87,7 @@
             End::Gap => write!(f, "gap"),
             End::Unspoken => write!(f, "unspoken"),
             End::Crowded => write!(f, "crowded"),
+            End::Draining => write!(f, "draining"),
             End::IdInUse => write!(f, "id-in-use"),
         }
     }
--- a/src/net/dispatch.rs
+++ b/src/net/dispatch.rs
@@ -10,19 +10,25 @@
 use super::codec::{Malformed, SetUp, TaskId, cause};
 use super::config::{Config, Limits};
 use super::conn::{self, Conn, End};
+use super::health::gate::Gate;
+use super::health::watch::{Refused, Task, Watch};
 use super::hosts::{self, Link, Phase, Round, Unmade};
-use super::log;
 use super::owners::{OwnerId, Owners, STUCK};
 use super::wheel::Wheel;
+use crate::ctl;
+use crate::operator::Operator;
 use anisehead::facade::{Facade, News, Ticket, Unfit, Verdict};
+use anisehead::health::drain::Hand;
+use anisehead::health::{Event, Gauges, Zone};
 use anisehead::settings::Names;
 use anisehead::{Detail, HostId, HostState, Micros, Outcome};
 use async_executor::LocalExecutor;
+use simd_json::OwnedValue;
 use std::cell::RefCell;
 use std::collections::{BTreeMap, VecDeque};
-use std::fmt::Arguments;
 use std::rc::{Rc, Weak};
 use std::time::Duration;
+use tracing::{info, warn};
 
 const MILLI: Micros = 1_000;
 /// An owner's time runs from when it sent: what the way here, a tick and the way back may take.
@@ -102,6 +108,11 @@
     set_up: Option<Box<SetUp>>,
     attempts: u32,
     state: State,
+    /// When it came, and the aim of its class.
+    since: Micros,
+    aim: Micros,
+    /// Where it was set up or named, once it stands.
+    home: Option<OwnerId>,
 }
 
 /// A task that is over: its host has released it, or it was answered. Kept for a set-up with `at` that
@@ -129,19 +140,32 @@
     known: Vec<FeedLine>,
     feed_up: bool,
     closing: Option<Micros>,
+    /// What balancers are told, where an operator's file asks for it.
+    pub(super) watch: Option<Watch>,
+    /// The connections of balancers.
+    pub(super) gate: Rc<Gate>,
+    /// And of operators.
+    pub(super) orders: Option<Rc<Gate>>,
+    /// A drain is over.
+    drained: bool,
 }
 
 impl Dispatch {
     /// A dispatch that has yet to take in what the configuration knows.
-    pub fn new(config: Config, tasks: Tasks) -> Dispatch {
+    pub fn new(config: Config, operator: &Operator, tasks: Tasks) -> Dispatch {
         let clock = Clock::default();
         let now = clock.now();
         let connect_timeout = config.settings.connect_timeout;
+        let watch = operator.watches().then(|| Watch::new(operator, now));
+        // The listeners, their connections, and those that are on their way out.
+        let listeners = operator.health.agent.len() + operator.health.http.len();
+        let polls = if operator.health.listens() { operator.health.connections + 4 } else { 0 };
+        let apart = listeners + polls + if operator.ctl.is_some() { 6 } else { 0 };
         conn::bound_queues(config.limits.memory / QUEUES);
         Dispatch {
             clock,
             tasks,
-            owners: Owners::new(config.limits.sockets),
+            owners: Owners::new(config.limits.sockets, apart),
             name: config.name,
             facade: Facade::new(config.settings, config.names, config.seed),
             wheel: Wheel::new(now),
@@ -154,6 +178,10 @@
             known: config.known,
             feed_up: false,
             closing: None,
+            watch,
+            gate: Rc::new(Gate::new(operator.health.connections)),
+            orders: None,
+            drained: false,
         }
     }
 
@@ -167,7 +195,7 @@
             let news = if i == 0 { News::Known(entries) } else { News::Listed { whole, entries } };
             self.tell(now, news);
         }
-        self.note(format_args!("{} serves, {} hosts known", self.name, self.hosts.len()));
+        info!(name = self.name, hosts = self.hosts.len(), "serves");
     }
 
     /// Takes over what the process may hold.
@@ -181,9 +209,11 @@
         self.facade.names()
     }
 
-    /// Writes a line to the log.
-    pub fn note(&self, text: Arguments<'_>) {
-        log::line(self.clock.now(), text);
+    /// Tells the health engine, where one runs.
+    pub fn watch(&mut self, now: Micros, event: Event) {
+        if let Some(watch) = &mut self.watch {
+            watch.tell(now, event);
+        }
     }
 
     // ---- Verdicts ----
@@ -214,7 +244,7 @@
                     self.give_up(now, ticket, Some(attempt), Outcome::Cancelled)
                 }
                 Verdict::Note(text) => {
-                    self.note(format_args!("module: {text}"));
+                    info!(text, "module");
                     None
                 }
             };
@@ -268,6 +298,11 @@
         let State::Out { attempt, host, since, .. } = &request.state else { return None };
         let (attempt, host, elapsed) = (*attempt, host.clone(), now - since);
         request.state = State::Held;
+        let stretch = elapsed as f64 / request.aim as f64;
+        // What its owner gave up tells nothing of the host.
+        if outcome != Outcome::Cancelled {
+            self.watch(now, Event::Offer { outcome, detail, stretch });
+        }
         Some(News::Ended { ticket, attempt, host, outcome, detail, elapsed })
     }
 
@@ -291,6 +326,7 @@
     fn answer(&mut self, now: Micros, ticket: Ticket, word: impl Fn(TaskId) -> Vec<u8>) -> Option<News> {
         let news = self.give_up(now, ticket, None, Outcome::Cancelled);
         if self.requests.get(&ticket).is_some_and(|r| r.state == State::Held) {
+            self.watch(now, Event::Answered { in_aim: false });
             let request = self.remove(ticket)?;
             if let Some(owner) = request.owner {
                 self.owners.send(now, owner, &word(request.id));
@@ -302,6 +338,9 @@
 
     fn remove(&mut self, ticket: Ticket) -> Option<Request> {
         let request = self.requests.remove(&ticket)?;
+        if let Some(home) = request.home {
+            self.owners.count_standing(home, false);
+        }
         if self.by_id.get(&request.id) == Some(&ticket) {
             self.by_id.remove(&request.id);
             let since = self.clock.now();
@@ -343,7 +382,7 @@
             return;
         }
         let (attempt, host, elapsed, outcome) = (*attempt, host.clone(), now - since, Outcome::Reset);
-        self.note(format_args!("task {}: does not stand: no host {}", request.id, host.0));
+        info!(task = %request.id, reason = "no-such-host", host = &*host.0, "does not stand");
         if let Some(owner) = request.owner {
             self.owners.send(now, owner, &binary::release(request.id, cause::RESET, None));
         }
@@ -384,7 +423,7 @@
         self.owners.ended(now, owner);
         let theirs = self.requests.iter().filter(|(_, r)| r.owner == Some(owner));
         let open: Vec<Ticket> = theirs.filter(|(_, r)| r.owes()).map(|(ticket, _)| *ticket).collect();
-        self.note(format_args!("owner connection {owner} ended: {end}, {} set-ups open", open.len()));
+        info!(peer = "owner", connection = %owner, reason = %end, open = open.len(), "connection ended");
         for ticket in open {
             self.gone(now, ticket);
         }
@@ -421,14 +460,15 @@
                 (_, Some(ticket)) => self.set_up_again(owner, ticket, &set_up),
             },
             OwnerWord::BadSetUp(why) if held.is_none() => {
-                self.note(format_args!("task {id}: set-up not read: {why}"));
+                info!(task = %id, reason = %why, "set-up not read");
                 self.owners.send(now, owner, &binary::release(id, cause::FAILED, None));
             }
             // A failure under this id could be taken for the answer to the one that is open.
             OwnerWord::BadSetUp(_) => self.owners.stop(owner, End::IdInUse),
             OwnerWord::Release(cause) => self.owner_release(now, owner, id, cause, held),
             OwnerWord::Test => {
-                self.owners.send(now, owner, &binary::tested(id, self.closing.is_none()));
+                let passes = self.closing.is_none() && self.watch.as_ref().is_none_or(Watch::serves);
+                self.owners.send(now, owner, &binary::tested(id, passes));
             }
             OwnerWord::Heard => self.owners.heard_end(id),
             OwnerWord::Other => self.owners.stop(owner, End::Malformed(Malformed::Field("type"))),
@@ -447,11 +487,14 @@
         self.owners.send(now, owner, &binary::heard(id));
     }
 
-    fn take(&mut self, id: TaskId, owner: Option<OwnerId>, state: State) -> Ticket {
+    fn take(&mut self, now: Micros, id: TaskId, owner: OwnerId, class: &str, state: State) -> Ticket {
         let ticket = Ticket(self.next);
         self.next += 1;
         self.by_id.insert(id, ticket);
-        self.requests.insert(ticket, Request { id, owner, set_up: None, attempts: 0, state });
+        let aim = self.facade.aim(class).unwrap_or(MILLI).max(MILLI);
+        let owner = Some(owner);
+        let request = Request { id, owner, set_up: None, attempts: 0, state, since: now, aim, home: None };
+        self.requests.insert(ticket, request);
         ticket
     }
 
@@ -469,10 +512,10 @@
             Ok(()) => None,
         };
         if let Some(why) = unfit {
-            self.note(format_args!("task {id}: not placed: {why}"));
+            info!(task = %id, reason = why, "not placed");
             return self.owners.send(now, owner, &binary::release(id, cause::FAILED, None));
         }
-        let ticket = self.take(id, Some(owner), State::Held);
+        let ticket = self.take(now, id, owner, &ask.class, State::Held);
         self.owners.count(owner, true);
         if let Some(request) = self.requests.get_mut(&ticket) {
             request.set_up = Some(set_up);
@@ -502,7 +545,7 @@
         }
         self.owners.count(owner, true);
         let id = request.id;
-        self.note(format_args!("task {id}: set up twice"));
+        info!(task = %id, "set up twice");
     }
 
     /// A task that a host holds already. Its release may have come first. The list may be late to name
@@ -520,11 +563,12 @@
             _ => None,
         };
         if let Some(cause) = over.or(unfit.map(|_| cause::RESET)) {
-            self.note(format_args!("task {id}: does not stand: {}", unfit.unwrap_or("released")));
+            info!(task = %id, reason = unfit.unwrap_or("released"), host = &*host.0, "does not stand");
             return self.owners.send(now, owner, &binary::release(id, cause, None));
         }
         let state = State::Standing { attempt: 0, host: host.clone(), since: now };
-        let ticket = self.take(id, Some(owner), state);
+        let ticket = self.take(now, id, owner, &set_up.ask.class, state);
+        self.stands_for(ticket, owner);
         if self.hosts.contains_key(host) {
             self.owners.prove(owner);
         } else {
@@ -534,6 +578,14 @@
         self.carry_out(now, verdicts);
     }
 
+    /// A task stands that was set up or named on this connection.
+    fn stands_for(&mut self, ticket: Ticket, owner: OwnerId) {
+        if let Some(request) = self.requests.get_mut(&ticket) {
+            request.home = Some(owner);
+            self.owners.count_standing(owner, true);
+        }
+    }
+
     // ---- Hosts ----
 
     /// Hosts that may have connections.
@@ -544,6 +596,7 @@
     /// News of the list. Tasks at what is gone, or at a process that started after them, are lost.
     pub fn listed(&mut self, whole: bool, hosts: Vec<Listed>) {
         let now = self.clock.now();
+        self.watch(now, Event::Feed);
         let entries = self.update_hosts(now, whole, hosts);
         self.tell(now, News::Listed { whole, entries });
         let lost: Vec<(HostId, Micros)> = self
@@ -572,6 +625,7 @@
             let link = self.hosts.entry(listed.entry.host.clone()).or_insert_with(|| Link::new(&listed));
             let Listed { entry, dial } = listed;
             (link.state, link.cell, link.born) = (entry.state, entry.cell, entry.ready_at);
+            (link.zone, link.free) = (entry.zone, [entry.free_cores, entry.free_memory]);
             if dial.is_some() && link.dial != dial {
                 link.dial = dial;
                 link.conns().for_each(|conn| conn.stop(End::HostGone));
@@ -625,6 +679,7 @@
             return;
         }
         link.phase = Phase::Down;
+        link.refused = why == Unmade::Refused;
         link.failures = link.failures.saturating_add(1);
         let down_since = *link.down_since.get_or_insert(now);
         let waiting = std::mem::take(&mut link.waiting);
@@ -633,7 +688,7 @@
         }
         let first = link.failures == 1;
         if first {
-            self.note(format_args!("host {} connection {round} ended: unmade {why:?}", host.0));
+            info!(peer = "host", host = &*host.0, connection = round, reason = %why, "connection ended");
         }
         self.never_ran(now, waiting);
         // A refused connection proves that the process is gone, and its tasks with it, unless it is heard
@@ -699,7 +754,8 @@
         let now = self.clock.now();
         let cut = self.requests.iter().filter(|(_, r)| r.out_on(host, round));
         let cut: Vec<Ticket> = cut.map(|(ticket, _)| *ticket).collect();
-        self.note(format_args!("host {} connection {round} ended: {end}, {} offers out", host.0, cut.len()));
+        let out = cut.len();
+        info!(peer = "host", host = &*host.0, connection = round, reason = %end, out, "connection ended");
         let Some(link) = self.hosts.get_mut(host) else { return };
         link.doubted.retain(|(r, _)| *r != round);
         if link.round == round {
@@ -728,7 +784,7 @@
         let lost = self.requests.iter().filter(|(_, r)| there(&r.state));
         let lost: Vec<Ticket> = lost.map(|(ticket, _)| *ticket).collect();
         if !lost.is_empty() {
-            self.note(format_args!("host {}: {} tasks lost", host.0, lost.len()));
+            info!(host = &*host.0, tasks = lost.len(), "tasks lost");
         }
         lost.into_iter().for_each(|ticket| self.end_standing(now, ticket, cause::RESET, Detail::None));
     }
@@ -754,11 +810,16 @@
                 let (attempt, elapsed) = (*attempt, now - since);
                 request.state = State::Standing { attempt, host: host.clone(), since: now };
                 request.set_up = None;
+                let (stretch, in_aim) =
+                    (elapsed as f64 / request.aim as f64, now - request.since <= request.aim);
                 if let Some(owner) = request.owner.take() {
                     self.owners.send(now, owner, &binary::answer(id, &description));
                     self.owners.count(owner, false);
                     self.owners.prove(owner);
+                    self.stands_for(ticket, owner);
                 }
+                self.watch(now, Event::Offer { outcome: Outcome::Ok, detail: Detail::None, stretch });
+                self.watch(now, Event::Answered { in_aim });
                 self.tell(now, News::Placed { ticket, attempt, host: host.clone(), elapsed });
             }
             // The task's own time is over: hosts release it so wherever it is offered. Guards against
@@ -808,8 +869,9 @@
 
     /// A line of the feed shows that nothing is missing.
     pub fn feed_lives(&mut self) {
+        let now = self.clock.now();
+        self.watch(now, Event::Feed);
         if !std::mem::replace(&mut self.feed_up, true) {
-            let now = self.clock.now();
             self.tell(now, News::FeedUp);
         }
     }
@@ -818,25 +880,129 @@
     pub fn feed_ended(&mut self, last: u64, end: End) {
         let now = self.clock.now();
         if std::mem::replace(&mut self.feed_up, false) {
-            self.note(format_args!("feed connection ended: {end}, after event {last}"));
+            info!(peer = "feed", reason = %end, last, "connection ended");
             self.tell(now, News::FeedDown);
         }
     }
 
-    /// SIGTERM: new work is still taken for a while, and all of it answered in time.
-    pub fn close_down(&mut self) {
+    /// SIGTERM: without an operator's word on drains, the process ends as the platform wants it.
+    pub fn terminate(&mut self) {
         let now = self.clock.now();
+        match self.watch.as_mut().and_then(|watch| watch.terminate(now)) {
+            Some(tasks) => self.follow(now, tasks),
+            None => self.close_down(now, CLOSE_ANSWER),
+        }
+    }
+
+    /// An order of an operator: what to answer.
+    pub fn ordered(&mut self, order: ctl::Order) -> Result<OwnedValue, String> {
+        use anisehead::health::Order;
+        let (now, hand) = (self.clock.now(), self.hand());
+        let order = match order {
+            ctl::Order::State => None,
+            ctl::Order::Drain => Some(Order::Drain),
+            ctl::Order::Ready => Some(Order::Ready),
+            ctl::Order::Maint => Some(Order::Maint),
+        };
+        let watch = self.watch.as_mut().ok_or("nothing is watched here")?;
+        if let Some(order) = order {
+            info!(?order, "ordered");
+            let tasks = watch.order(now, order).map_err(|Refused(why)| why.to_string())?;
+            self.follow(now, tasks);
+        }
+        let watch = self.watch.as_mut().ok_or("nothing is watched here")?;
+        Ok(watch.state(now, hand))
+    }
+
+    /// Does what the drain asks for.
+    fn follow(&mut self, now: Micros, tasks: Vec<Task>) {
+        for task in tasks {
+            match task {
+                Task::CloseIdle(close) => self.owners.close_idle(close),
+                Task::Answer(within) => self.close_down(now, within),
+                Task::Exit(left) => {
+                    self.drained = true;
+                    self.name_what_is_left(left);
+                }
+            }
+        }
+    }
+
+    /// Who is owed what, for a drain.
+    fn hand(&self) -> Hand {
+        let now = self.clock.now();
+        let owed = self.requests.values().filter(|r| r.owes()).count();
+        Hand {
+            owed,
+            standing: self.requests.len() - owed,
+            untold: self.owners.untold(now),
+            unflushed: self.owners.unflushed(),
+        }
+    }
+
+    /// What a drain could not wait for, task by task.
+    fn name_what_is_left(&self, left: Hand) {
+        info!(owed = left.owed, standing = left.standing, untold = left.untold, "drained");
+        for request in self.requests.values() {
+            if let State::Standing { host, .. } | State::Leaving { host, .. } = &request.state {
+                warn!(task = %request.id, host = &*host.0, "left standing");
+            }
+        }
+    }
+
+    /// What the health engine looks at, and the drain.
+    fn look(&mut self, now: Micros) {
+        if self.watch.is_none() {
+            return;
+        }
+        let mut zones: BTreeMap<anisehead::ZoneId, Zone> = BTreeMap::new();
+        let (mut listed, mut roomy) = (0u32, 0u32);
+        let ordinary = self.facade.ordinary();
+        for link in self.hosts.values().filter(|link| link.state == HostState::Up) {
+            let zone = zones.entry(link.zone).or_default();
+            zone.listed += 1;
+            zone.refused += u32::from(link.down_since.is_some() && link.refused);
+            zone.silent += u32::from(link.down_since.is_some() && !link.refused);
+            listed += 1;
+            let fits =
+                ordinary.is_none_or(|size| link.free.iter().zip(size).all(|(free, asked)| *free >= asked));
+            roomy += u32::from(fits);
+        }
+        let ages = self.requests.values().filter(|r| r.owes()).map(|r| (now - r.since) as f64 / r.aim as f64);
+        let gauges = Gauges {
+            oldest: ages.fold(0.0, f64::max),
+            zones: zones.into_values().collect(),
+            roomy: ordinary.filter(|_| listed > 0).map(|_| f64::from(roomy) / f64::from(listed)),
+            descriptors: self.owners.live() as f64 / self.owners.budget(self.hosts_in_use()) as f64,
+            queues: conn::queued_share(),
+        };
+        let hand = self.hand();
+        if let Some(watch) = &mut self.watch {
+            watch.tell(now, Event::Look(gauges));
+            let tasks = watch.look(now, hand);
+            self.follow(now, tasks);
+        }
+    }
+
+    fn close_down(&mut self, now: Micros, within: Micros) {
         if self.closing.is_none() {
             self.closing = Some(now);
-            self.note(format_args!("closing, {} requests in hand", self.requests.len()));
-            self.tell(now, News::Closing(CLOSE_ANSWER));
+            info!(requests = self.requests.len(), "closing");
+            self.tell(now, News::Closing(within));
         }
     }
 
     /// Whether the process may end.
     pub fn finished(&self) -> bool {
         let now = self.clock.now();
+        if self.drained {
+            return true;
+        }
         let Some(since) = self.closing else { return false };
+        // A drain that has come to this tells itself when it is over.
+        if self.watch.as_ref().is_some_and(Watch::draining) {
+            return false;
+        }
         let clear = !self.requests.values().any(Request::owes) && self.owners.flushed();
         now - since >= CLOSE_END || (now - since >= CLOSE_OPEN && clear)
     }
@@ -864,6 +1030,7 @@
     /// One turn of the wheel.
     pub fn tick(&mut self) {
         let now = self.clock.now();
+        self.watch(now, Event::Turn);
         for due in self.wheel.due(now) {
             match due {
                 Due::Attempt(ticket, attempt) => {
@@ -897,6 +1064,9 @@
                 Due::Sweep => {
                     self.owners.sweep(now);
                     self.sweep_hosts(now);
+                    self.gate.sweep(now);
+                    self.orders.iter().for_each(|gate| gate.sweep(now));
+                    self.look(now);
                     self.ended.retain(|_, ended| now - ended.since < ENDED);
                     self.wheel.add(now + SWEEP, Due::Sweep);
                 }
--- a/src/net/hosts.rs
+++ b/src/net/hosts.rs
@@ -5,7 +5,7 @@
 use super::conn::{Conn, End};
 use super::dispatch::Shared;
 use anisehead::facade::Ticket;
-use anisehead::{CellId, HostId, HostState, Micros};
+use anisehead::{CellId, HostId, HostState, Micros, ZoneId};
 use async_channel::Sender;
 use async_io::Async;
 use futures_lite::future;
@@ -38,6 +38,9 @@
     pub state: HostState,
     /// Its cell: machines of a cell fail together.
     pub cell: CellId,
+    /// Its zone, and the cores and memory that nobody asks for, as the list tells.
+    pub zone: ZoneId,
+    pub free: [f64; 2],
     /// When its process started, or 0.
     pub born: Micros,
     /// How far the connection is.
@@ -57,6 +60,8 @@
     pub failures: u32,
     /// When the first of them failed.
     pub down_since: Option<Micros>,
+    /// Whether the latest was refused.
+    pub refused: bool,
 }
 
 impl Link {
@@ -66,6 +71,8 @@
             dial: listed.dial,
             state: listed.entry.state,
             cell: listed.entry.cell,
+            zone: listed.entry.zone,
+            free: [listed.entry.free_cores, listed.entry.free_memory],
             born: listed.entry.ready_at,
             phase: Phase::Down,
             round: 0,
@@ -76,6 +83,7 @@
             unsent: Vec::new(),
             failures: 0,
             down_since: None,
+            refused: false,
         }
     }
 
@@ -119,6 +127,16 @@
     Failed(ErrorKind),
 }
 
+impl std::fmt::Display for Unmade {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Unmade::Refused => f.write_str("unmade:refused"),
+            Unmade::TimedOut => f.write_str("unmade:timed-out"),
+            Unmade::Failed(kind) => write!(f, "unmade:{kind}"),
+        }
+    }
+}
+
 /// Connects to a host and serves the connection until it ends.
 pub async fn serve(
     host: HostId,
--- a/src/net/log.rs
+++ b/src/net/log.rs
@@ -1,10 +1,244 @@
-//! One line an event on standard error.
+//! The log: `tracing` events, one a line on standard error, as text or as JSON.
+//!
+//! The one thread must not wait for whoever reads the log. A line is handed to the system only where it
+//! takes it at once: standard error is asked with `poll` first, and at most as many bytes are written as
+//! a pipe that says 'ready' takes whole. The rest waits in a bounded queue that the wheel's ticks empty.
+//! Lines beyond the bound are dropped and counted, and the count is told once there is room. A standard
+//! error that is closed drops all, and stops nothing.
 
-use anisehead::Micros;
-use std::fmt::Arguments;
-use std::io::Write;
+use crate::operator::{self, LogFormat, LogLevel};
+use rustix::event::{PollFd, PollFlags, Timespec, poll};
+use std::io::{self, ErrorKind, Write};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tracing::Level;
+use tracing_subscriber::fmt::MakeWriter;
+use tracing_subscriber::fmt::format::Writer;
+use tracing_subscriber::fmt::time::FormatTime;
 
-/// Writes one line. A log that can't be written stops nothing.
-pub fn line(now: Micros, text: Arguments<'_>) {
-    let _ = writeln!(std::io::stderr().lock(), "{}.{:06} {text}", now / 1_000_000, now % 1_000_000);
+/// What a pipe that is ready for writing takes without a wait (POSIX: `PIPE_BUF`, on Linux 4096).
+const AT_ONCE: usize = 4_096;
+/// How long the end of the process waits for the log's reader.
+const FAREWELL: Duration = Duration::from_millis(200);
+
+static SINK: OnceLock<Sink> = OnceLock::new();
+
+/// Lines on their way out.
+#[derive(Debug)]
+struct Queue {
+    waiting: Vec<u8>,
+    most: usize,
+    dropped: u64,
+    json: bool,
+    /// Whether standard error takes anything at all.
+    closed: bool,
+}
+
+impl Queue {
+    fn new(settings: &operator::Log) -> Queue {
+        let json = settings.format == LogFormat::Json;
+        Queue { waiting: Vec::new(), most: settings.queue, dropped: 0, json, closed: false }
+    }
+
+    /// Takes a whole line, or counts it as dropped.
+    fn push(&mut self, line: &[u8]) {
+        if self.closed || self.waiting.len() + line.len() > self.most {
+            self.dropped += 1;
+            return;
+        }
+        self.waiting.extend_from_slice(line);
+    }
+
+    /// Writes what `out` takes at once; `ready` tells whether it takes anything.
+    fn pump(&mut self, out: &mut impl Write, mut ready: impl FnMut() -> bool) {
+        while !self.closed && !self.waiting.is_empty() && ready() {
+            let chunk = self.waiting.get(..AT_ONCE).unwrap_or(&self.waiting);
+            match out.write(chunk) {
+                Ok(0) => self.closed = true,
+                Ok(n) => {
+                    self.waiting.drain(..n.min(self.waiting.len()));
+                }
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return,
+                Err(_) => self.closed = true,
+            }
+        }
+        if self.closed {
+            self.waiting = Vec::new();
+        } else if self.waiting.is_empty() && self.dropped > 0 {
+            let (seconds, micros) = unix();
+            let dropped = std::mem::take(&mut self.dropped);
+            let line = if self.json {
+                format!(
+                    "{{\"timestamp\":\"{seconds}.{micros:06}\",\"level\":\"WARN\",\"message\":\"log lines dropped\",\"dropped\":{dropped}}}\n"
+                )
+            } else {
+                format!("{seconds}.{micros:06}  WARN log lines dropped dropped={dropped}\n")
+            };
+            self.waiting.extend_from_slice(line.as_bytes());
+        }
+    }
+}
+
+#[derive(Clone)]
+struct Sink(Arc<Mutex<Queue>>);
+
+impl Sink {
+    fn lock(&self) -> MutexGuard<'_, Queue> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn pump(&self, patience: Duration) {
+        let stderr = io::stderr();
+        let wait = Timespec { tv_sec: 0, tv_nsec: patience.subsec_nanos().into() };
+        let ready = || {
+            let mut fds = [PollFd::new(&stderr, PollFlags::OUT)];
+            // A reader that is gone counts as ready: the write tells.
+            poll(&mut fds, Some(&wait)).is_ok_and(|n| n > 0)
+        };
+        self.lock().pump(&mut stderr.lock(), ready);
+    }
+}
+
+/// One line that is being written.
+struct Line(Sink);
+
+impl Write for Line {
+    fn write(&mut self, line: &[u8]) -> io::Result<usize> {
+        self.0.lock().push(line);
+        self.0.pump(Duration::ZERO);
+        Ok(line.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+impl<'a> MakeWriter<'a> for Sink {
+    type Writer = Line;
+
+    fn make_writer(&'a self) -> Line {
+        Line(self.clone())
+    }
+}
+
+fn unix() -> (u64, u32) {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    (now.as_secs(), now.subsec_micros())
+}
+
+/// Seconds of the Unix clock, with the microseconds.
+struct UnixTime;
+
+impl FormatTime for UnixTime {
+    fn format_time(&self, w: &mut Writer<'_>) -> std::fmt::Result {
+        let (seconds, micros) = unix();
+        write!(w, "{seconds}.{micros:06}")
+    }
+}
+
+/// Sets the log up for the life of the process.
+pub fn start(settings: &operator::Log) {
+    let sink = SINK.get_or_init(|| Sink(Arc::new(Mutex::new(Queue::new(settings))))).clone();
+    let level = match settings.level {
+        LogLevel::Error => Level::ERROR,
+        LogLevel::Warn => Level::WARN,
+        LogLevel::Info => Level::INFO,
+        LogLevel::Debug => Level::DEBUG,
+    };
+    let plain = tracing_subscriber::fmt()
+        .with_writer(sink)
+        .with_max_level(level)
+        .with_ansi(false)
+        .with_target(false)
+        .with_timer(UnixTime);
+    let set = match settings.format {
+        LogFormat::Text => tracing::subscriber::set_global_default(plain.finish()),
+        LogFormat::Json => {
+            let json = plain.json().flatten_event(true).with_current_span(false).with_span_list(false);
+            tracing::subscriber::set_global_default(json.finish())
+        }
+    };
+    // It is set once; a second start keeps the first.
+    let _ = set;
+}
+
+/// Writes what waits, as far as it is taken at once.
+pub fn pump() {
+    if let Some(sink) = SINK.get() {
+        if sink.lock().waiting.is_empty() {
+            return;
+        }
+        sink.pump(Duration::ZERO);
+    }
+}
+
+/// The last words: waits for the reader a little.
+pub fn finish() {
+    if let Some(sink) = SINK.get() {
+        sink.pump(FAREWELL);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Takes so many bytes, then no more.
+    struct Narrow(usize, Vec<u8>);
+
+    impl Write for Narrow {
+        fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+            let n = bytes.len().min(self.0);
+            if n == 0 {
+                return Err(ErrorKind::WouldBlock.into());
+            }
+            self.0 -= n;
+            self.1.extend_from_slice(bytes.get(..n).unwrap_or_default());
+            Ok(n)
+        }
+
+        fn flush(&mut self) -> io::Result<()> {
+            Ok(())
+        }
+    }
+
+    #[test]
+    fn lines_wait_in_order_and_beyond_the_bound_they_are_dropped_whole_and_counted() {
+        let mut queue = Queue::new(&operator::Log { queue: 30, ..operator::Log::default() });
+        let mut out = Narrow(5, Vec::new());
+        for n in 0..6 {
+            queue.push(format!("line {n} ..\n").as_bytes());
+            queue.pump(&mut out, || true);
+        }
+        assert_eq!((out.1.as_slice(), queue.dropped), (&b"line "[..], 3), "{queue:?}");
+        out.0 = 1_000;
+        queue.pump(&mut out, || true);
+        queue.pump(&mut out, || true);
+        let text = String::from_utf8(out.1).expect("text");
+        assert!(text.starts_with("line 0 ..\nline 1 ..\nline 2 ..\n"), "{text}");
+        assert!(text.ends_with("log lines dropped dropped=3\n"), "{text}");
+    }
+
+    #[test]
+    fn what_is_not_ready_is_not_asked_and_what_is_closed_is_forgotten() {
+        struct Broken;
+        impl Write for Broken {
+            fn write(&mut self, _: &[u8]) -> io::Result<usize> {
+                Err(ErrorKind::BrokenPipe.into())
+            }
+            fn flush(&mut self) -> io::Result<()> {
+                Ok(())
+            }
+        }
+        let mut queue = Queue::new(&operator::Log::default());
+        queue.push(b"line\n");
+        queue.pump(&mut Broken, || false);
+        assert!(!queue.closed && !queue.waiting.is_empty());
+        queue.pump(&mut Broken, || true);
+        assert!(queue.closed && queue.waiting.is_empty());
+        queue.push(b"line\n");
+        assert!(queue.waiting.is_empty());
+    }
 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -4,13 +4,16 @@
 mod codec;
 pub mod config;
 mod conn;
+mod ctl;
 mod dispatch;
 mod feed;
+pub mod health;
 mod hosts;
-mod log;
+pub mod log;
 mod owners;
 mod wheel;
 
+use crate::operator::Operator;
 use async_channel::Sender;
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
@@ -21,21 +24,30 @@
 use std::cell::RefCell;
 use std::io;
 use std::net::{SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::Duration;
+use tracing::{info, warn};
 
-/// Serves until a signal asks for the end and all that is owed is answered.
-pub fn serve(config: Config) -> io::Result<()> {
+/// Serves until a signal asks for the end and all that is owed is answered. `path` is where the
+/// configuration came from, for reading it again.
+pub fn serve(config: Config, path: Option<PathBuf>, operator: Operator) -> io::Result<()> {
     let executor = Rc::new(LocalExecutor::new());
     let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])?;
     let (listen, feed, known_to) = (config.listen, config.feed, config.known_to);
     let shared: Shared = Rc::new_cyclic(|me| {
-        RefCell::new(Dispatch::new(config, dispatch::Tasks::new(me.clone(), executor.clone())))
+        RefCell::new(Dispatch::new(config, &operator, dispatch::Tasks::new(me.clone(), executor.clone())))
     });
     async_io::block_on(executor.run(async {
         // The known hosts are taken in before anyone can connect: a test that passes means ready.
         shared.borrow_mut().start();
-        let listener = Async::<TcpListener>::bind(listen)?;
+        let listener = Async::<TcpListener>::bind(listen);
+        let listener = listener.map_err(|e| io::Error::new(e.kind(), format!("listen: {listen}: {e}")))?;
+        health::open(&operator.health, &executor, &shared)?;
+        if let Some(socket) = &operator.ctl {
+            let orders = ctl::open(socket, &executor, &shared)?;
+            shared.borrow_mut().orders = Some(orders);
+        }
         executor.spawn(owners::accept(listener, shared.clone())).detach();
         let (moves, moved) = async_channel::unbounded();
         executor.spawn(feed::follow(feed, known_to, moved, shared.clone())).detach();
@@ -44,33 +56,37 @@
             while let Some(signal) = signals.next().await {
                 let mut dispatch = signalled.borrow_mut();
                 match signal {
-                    Ok(Signal::Hup) => reload(&mut dispatch, &moves),
-                    _ => dispatch.close_down(),
+                    Ok(Signal::Hup) => reload(&mut dispatch, path.as_deref(), &moves),
+                    _ => dispatch.terminate(),
                 }
             }
         };
         executor.spawn(on_signal).detach();
         let mut ticks = Timer::interval(Duration::from_micros(wheel::TICK.unsigned_abs()));
         while ticks.next().await.is_some() {
+            log::pump();
             let mut dispatch = shared.borrow_mut();
             dispatch.tick();
             if dispatch.finished() {
                 break;
             }
         }
+        if let Some(socket) = &operator.ctl {
+            let _ = std::fs::remove_file(socket);
+        }
         Ok(())
     }))
 }
 
 /// Reads the configuration again: the feed and the limits are taken over, all else stays as it was at
 /// the start. Guards against a file that can't be read: the one before stays in force.
-fn reload(dispatch: &mut Dispatch, moves: &Sender<SocketAddr>) {
-    match config::load() {
+fn reload(dispatch: &mut Dispatch, path: Option<&Path>, moves: &Sender<SocketAddr>) {
+    match config::load(path) {
         Ok(config) => {
-            dispatch.note(format_args!("configuration read again, feed at {}", config.feed));
+            info!(feed = %config.feed, "configuration read again");
             dispatch.limit(config.limits);
             let _ = moves.try_send(config.feed);
         }
-        Err(problem) => dispatch.note(format_args!("not read again: {problem}")),
+        Err(problem) => warn!(%problem, "configuration not read again"),
     }
 }
--- a/src/net/owners.rs
+++ b/src/net/owners.rs
@@ -4,12 +4,14 @@
 use super::conn::{Conn, End};
 use super::dispatch::Shared;
 use anisehead::Micros;
+use anisehead::health::Event;
 use async_io::{Async, Timer};
 use futures_lite::future;
 use std::collections::BTreeMap;
 use std::net::TcpListener;
 use std::rc::Rc;
 use std::time::Duration;
+use tracing::{info, warn};
 
 /// A silent connection that carries no open set-up is closed after this.
 const IDLE: Micros = 60_000_000;
@@ -21,6 +23,8 @@
 pub const STUCK: Micros = 5_000_000;
 /// How long a word on a task that stood is kept for the case that its connection ends unread.
 const UNHEARD: Micros = 10_000_000;
+/// How long a word on a task that stood may be on its way to its owner.
+const UNREAD: Micros = 1_000_000;
 /// Pause after a failed accept, where nothing could make room.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// Descriptors that the process holds whatever happens: the listener, the reactor, signals, the log,
@@ -50,6 +54,8 @@
     spoken: bool,
     /// A task stands that was set up or named on it.
     proven: bool,
+    /// Tasks that stand and were set up or named on it.
+    stand: usize,
 }
 
 /// The end of a task as it was told, until its owner has heard it.
@@ -71,13 +77,39 @@
     sockets: usize,
     /// Connections that read off what still comes.
     lingering: usize,
+    /// Descriptors set apart for balancers and operators.
+    apart: usize,
+    /// Connections without a task are closed.
+    close_idle: bool,
 }
 
 impl Owners {
-    /// Connections within so many descriptors of the whole process.
-    pub fn new(sockets: usize) -> Owners {
+    /// Connections within so many descriptors of the whole process, less those set apart.
+    pub fn new(sockets: usize, apart: usize) -> Owners {
         let (all, told) = (BTreeMap::new(), BTreeMap::new());
-        Owners { all, next: 0, unsent: Vec::new(), told, sockets, lingering: 0 }
+        Owners { all, next: 0, unsent: Vec::new(), told, sockets, lingering: 0, apart, close_idle: false }
+    }
+
+    /// Closes connections that carry no task, from now on or no more.
+    pub fn close_idle(&mut self, close: bool) {
+        self.close_idle = close;
+    }
+
+    /// A task that was set up or named on it stands, or no longer does.
+    pub fn count_standing(&mut self, id: OwnerId, stands: bool) {
+        if let Some(owner) = self.all.get_mut(&id) {
+            owner.stand = if stands { owner.stand + 1 } else { owner.stand.saturating_sub(1) };
+        }
+    }
+
+    /// Words on tasks that stood which no owner has taken, or may not have read yet.
+    pub fn untold(&self, now: Micros) -> usize {
+        self.unsent.len() + self.told.values().filter(|told| now - told.since < UNREAD).count()
+    }
+
+    /// Connections whose queue is not empty.
+    pub fn unflushed(&self) -> usize {
+        self.all.values().filter(|owner| !owner.conn.flushed()).count()
     }
 
     /// Sets the descriptors of the whole process.
@@ -90,7 +122,7 @@
         let id = OwnerId(self.next);
         self.next += 1;
         let (half_since, spoken, proven) = (Some(now), false, false);
-        self.all.insert(id, Owner { conn, open: 0, heard: now, half_since, spoken, proven });
+        self.all.insert(id, Owner { conn, open: 0, heard: now, half_since, spoken, proven, stand: 0 });
         for (task, bytes) in std::mem::take(&mut self.unsent) {
             self.send_any(now, task, bytes);
         }
@@ -183,6 +215,11 @@
             if owner.open == 0 && owner.half_since.is_some_and(|since| now - since > UNSPOKEN) {
                 owner.conn.stop(End::Unspoken);
             }
+            // Neither an answer nor the end of a task is owed on it. One that has just come may have a
+            // set-up on its way.
+            if self.close_idle && owner.open == 0 && owner.stand == 0 && now - owner.heard > YOUNG {
+                owner.conn.stop(End::Draining);
+            }
         }
         self.told.retain(|_, told| now - told.since < UNHEARD);
     }
@@ -195,11 +232,19 @@
         first.map(|owner| owner.conn.stop(End::Crowded)).is_some()
     }
 
-    /// Whether another connection is within the budget. Hosts and the feed have theirs first.
+    /// How many connections there may be. Hosts, the feed and balancers have theirs first.
+    pub fn budget(&self, hosts: usize) -> usize {
+        self.sockets.saturating_sub(OWN_DESCRIPTORS + self.apart + A_HOST * hosts).max(4)
+    }
+
+    /// How many there are.
+    pub fn live(&self) -> usize {
+        self.all.values().filter(|o| !o.conn.stopping()).count() + self.lingering
+    }
+
+    /// Whether another connection is within the budget.
     fn crowded(&self, hosts: usize) -> bool {
-        let budget = self.sockets.saturating_sub(OWN_DESCRIPTORS + A_HOST * hosts).max(4);
-        let live = self.all.values().filter(|o| !o.conn.stopping()).count();
-        live + self.lingering >= budget
+        self.live() >= self.budget(hosts)
     }
 
     /// Whether all that was sent is on its way.
@@ -214,31 +259,40 @@
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                let dispatch = shared.borrow();
-                if dispatch.owners.crowded(dispatch.hosts_in_use()) {
-                    let now = dispatch.clock.now();
-                    if !dispatch.owners.shed(now) {
-                        // All are busy: this one is closed with nothing taken on it.
-                        dispatch.note(format_args!("owner connection turned away: {}", End::Crowded));
-                        continue;
-                    }
+                let mut dispatch = shared.borrow_mut();
+                let now = dispatch.clock.now();
+                let crowded = dispatch.owners.crowded(dispatch.hosts_in_use());
+                // All are busy: this one is closed with nothing taken on it.
+                let turned_away = crowded && !dispatch.owners.shed(now);
+                dispatch.watch(now, Event::Connection { turned_away });
+                if turned_away {
+                    info!(peer = "owner", reason = %End::Crowded, "connection turned away");
+                    continue;
                 }
                 let conn = Rc::new(Conn::new(stream));
                 dispatch.tasks.spawn(serve(conn, shared.clone()));
             }
-            Err(e) => {
-                let now = shared.borrow().clock.now();
-                shared.borrow().note(format_args!("accept failed: {}", e.kind()));
-                if !shared.borrow().owners.shed(now) {
-                    Timer::after(ACCEPT_PAUSE).await;
-                }
-            }
+            Err(e) => AcceptFailed::pause(&shared, &e).await,
         }
         // Connections that were told to end give their descriptors back before the next is taken.
         future::yield_now().await;
     }
 }
 
+/// What every listener does where accepting fails.
+pub struct AcceptFailed;
+
+impl AcceptFailed {
+    /// Gives up an idle connection for the next, or waits a little where there is none.
+    pub async fn pause(shared: &Shared, e: &std::io::Error) {
+        let now = shared.borrow().clock.now();
+        warn!(reason = %e.kind(), "accept failed");
+        if !shared.borrow().owners.shed(now) {
+            Timer::after(ACCEPT_PAUSE).await;
+        }
+    }
+}
+
 async fn serve(conn: Rc<Conn>, shared: Shared) {
     let id = shared.borrow_mut().owner_opened(conn.clone());
     let end = conn
--- a/tests/health_loop.rs
+++ b/tests/health_loop.rs
@@ -122,7 +122,8 @@
                 self.acts.push_back((now + self.delay, n, weight));
             }
         }
-        while let Some((_, n, weight)) = self.acts.pop_front_if(|(at, ..)| *at <= now) {
+        while self.acts.front().is_some_and(|(at, ..)| *at <= now) {
+            let Some((_, n, weight)) = self.acts.pop_front() else { break };
             self.balancer.advised(n, Advice { weight: Some(weight), ..Advice::default() });
         }
         for (n, placer) in self.placers.iter_mut().enumerate() {
