Whole installations on loopback: a stand-in balancer, live hosts and feeds, every task checked

Found with them: a fleet that is full lowered weights, since a module that holds asks back makes few refused offers, so a host's last word 'full' counts for 15 s and what it refused is no own age; rises used up the bound on changes, so they are told once a second.

--- a/crates/standin/src/config.rs
+++ b/crates/standin/src/config.rs
@@ -6,8 +6,12 @@
 /// The configuration of a placer with these hosts: `quick` is safe and spread (2 in a zone), `once`
 /// must never start twice, and a cold host bears 3 offers a second.
 pub fn config(feed: &Feed, hosts: Vec<OwnedValue>) -> OwnedValue {
+    deployment("n1", 0, 1, &feed.address(), hosts)
+}
+
+/// The same for placer `me` of so many.
+pub fn deployment(name: &str, me: u64, placers: u64, feed: &str, hosts: Vec<OwnedValue>) -> OwnedValue {
     let listen = free_address().to_string();
-    let feed = feed.address();
     let class = |name: &str, semantics: &str| {
         json!({
             "name": name, "aim": 1000.0, "hard_limit": 6000.0, "semantics": semantics, "group": "all",
@@ -15,14 +19,14 @@
         })
     };
     json!({
-        "name": "n1", "listen": listen, "seed": "8c1f30d27a5be964", "feed": feed,
+        "name": name, "listen": listen, "seed": "8c1f30d27a5be964", "feed": feed,
         "limits": { "cores": 1.0, "memory_mb": 192, "sockets": 1024 },
         "known": { "n": 1, "events": [event(1, true, hosts)] },
         "settings": {
-            "me": 0, "n_instances": 1, "locality": "north", "zones": ["north", "south"], "step": 2.0,
+            "me": me, "n_instances": placers, "locality": "north", "zones": ["north", "south"], "step": 2.0,
             "models": ["plain"], "membership_mode": "subscribe", "over_share_worth": 0.1,
             "services": [class("quick", "safe"), class("once", "unsafe")],
-            "realms": [{ "name": "ours", "portion": 1.0, "allowance_per_s": 5.0 }],
+            "realms": [{ "name": "ours", "portion": 1.0, "allowance_per_s": 1000.0 }],
             "caps": {
                 "cancel": true, "connect_timeout": 250.0, "conn_idle": 30000.0, "max_retry_after": 3000.0,
                 "probing": false, "retry_after": true, "send_cap": 4
--- a/crates/standin/src/feed.rs
+++ b/crates/standin/src/feed.rs
@@ -23,6 +23,10 @@
         self.listener.local_addr().expect("an address").to_string()
     }
 
+    pub(crate) fn into_listener(self) -> TcpListener {
+        self.listener
+    }
+
     /// Waits for a subscription and answers its number.
     pub fn subscribed(&mut self) -> u64 {
         let stream = accept(&self.listener, LIMIT).expect("a subscription");
--- a/crates/standin/src/host.rs
+++ b/crates/standin/src/host.rs
@@ -22,6 +22,11 @@
         Host { name: name.to_string(), zone, listener: listen() }
     }
 
+    /// Its listener, for a host that runs by itself.
+    pub(crate) fn listener(&self) -> TcpListener {
+        self.listener.try_clone().expect("a socket")
+    }
+
     /// Its entry in the list.
     pub fn entry(&self, state: &str, born_ms: u64) -> OwnedValue {
         let address = self.listener.local_addr().expect("an address").to_string();
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -7,11 +7,13 @@
 pub mod balance;
 mod config;
 mod feed;
+pub mod front;
 mod host;
+pub mod live;
 mod owner;
 mod program;
 
-pub use config::config;
+pub use config::{config, deployment};
 pub use feed::{Feed, event};
 pub use host::{Host, HostConn};
 pub use owner::{Ask, Message, ONCE, Owner, QUICK, bytes};
--- a/crates/standin/src/owner.rs
+++ b/crates/standin/src/owner.rs
@@ -1,7 +1,9 @@
 //! Owners.
 
+use crate::LIMIT;
 use std::io::{ErrorKind, Read, Write};
 use std::net::TcpStream;
+use std::time::Duration;
 
 /// A message to an owner.
 #[derive(Debug, Clone, PartialEq)]
@@ -111,16 +113,21 @@
 
     /// The next message, or none where the connection ends.
     pub fn next_message(&mut self) -> Option<Message> {
+        self.try_message().unwrap_or_else(|e| panic!("nothing comes: {e}"))
+    }
+
+    /// The next message, none where the connection ends, an error where nothing comes in time.
+    pub fn try_message(&mut self) -> std::io::Result<Option<Message>> {
         let mut length = [0; 2];
         match self.0.read_exact(&mut length) {
             Ok(()) => {}
             Err(e) if matches!(e.kind(), ErrorKind::UnexpectedEof | ErrorKind::ConnectionReset) => {
-                return None;
+                return Ok(None);
             }
-            Err(e) => panic!("nothing comes: {e}"),
+            Err(e) => return Err(e),
         }
         let mut body = vec![0; usize::from(u16::from_be_bytes(length))];
-        self.0.read_exact(&mut body).expect("a whole message");
+        self.0.read_exact(&mut body)?;
         let (kind, id) = (body[0], u64::from_be_bytes(body[1..9].try_into().expect("8 bytes")));
         let mut parameters = Vec::new();
         let mut rest = &body[9..];
@@ -129,7 +136,24 @@
             parameters.push((*code, value.to_vec()));
             rest = after;
         }
-        Some(Message { kind, id, parameters })
+        Ok(Some(Message { kind, id, parameters }))
+    }
+
+    /// The next message, none where the connection ends, an error where none begins in time.
+    pub fn message_within(&mut self, limit: Duration) -> std::io::Result<Option<Message>> {
+        self.0.set_read_timeout(Some(limit))?;
+        let begun = self.0.peek(&mut [0; 2]);
+        self.0.set_read_timeout(Some(LIMIT))?;
+        match begun {
+            Err(e) if e.kind() == ErrorKind::ConnectionReset => Ok(None),
+            Err(e) => Err(e),
+            Ok(_) => self.try_message(),
+        }
+    }
+
+    /// Says that the end of a task was heard.
+    pub fn heard(&mut self, id: u64) {
+        let _ = self.0.write_all(&bytes(16, id, &[]));
     }
 
     /// The next message, which must come.
--- a/src/health/fleet.rs
+++ b/src/health/fleet.rs
@@ -5,7 +5,8 @@
 //! Three things speak for the fleet, and each is discounted by what could make it up here:
 //!
 //! - *Full*: hosts refuse offers for want of room, or the inventory lists little room. A host's word is
-//!   a fact whoever hears it; the inventory counts less the older it is.
+//!   a fact whoever hears it, and stays one for a while where the module holds asks back instead of
+//!   offering them in vain; the inventory counts less the older it is.
 //! - *Slow*: hosts that do start take long about it. A loop that runs late sees every host as slow, so
 //!   this counts only as far as the loop was in time.
 //! - *Down*: hosts can't be reached in some zones and can in others. What fails alike in every zone is
@@ -14,9 +15,9 @@
 use super::window::Window;
 use crate::{Detail, Micros, Outcome};
 
-const WINDOW: Micros = 5_000_000;
+const WINDOW: Micros = 10_000_000;
 /// Fewer offers than this tell nothing.
-const LEAST_OFFERS: f64 = 8.0;
+const LEAST_OFFERS: f64 = 5.0;
 /// An offer that took this part of its class's aim at the host was slow there.
 const SLOW: f64 = 0.5;
 
@@ -58,13 +59,15 @@
     timeouts: Window,
     /// Share of the listed hosts with room for an ordinary task.
     roomy: Option<f64>,
+    /// Share of them that said they are full when last asked.
+    said_full: f64,
     down: f64,
 }
 
 impl Default for Fleet {
     fn default() -> Fleet {
         let window = || Window::new(WINDOW);
-        Fleet { full: window(), slow: window(), timeouts: window(), roomy: None, down: 0.0 }
+        Fleet { full: window(), slow: window(), timeouts: window(), roomy: None, said_full: 0.0, down: 0.0 }
     }
 }
 
@@ -87,8 +90,8 @@
     }
 
     /// What the list and the connections show.
-    pub fn looked(&mut self, roomy: Option<f64>, down: f64) {
-        (self.roomy, self.down) = (roomy, down);
+    pub fn looked(&mut self, roomy: Option<f64>, said_full: f64, down: f64) {
+        (self.roomy, self.said_full, self.down) = (roomy, said_full, down);
     }
 
     /// Share of the recent offers that timed out.
@@ -103,7 +106,8 @@
         let no_room = self.roomy.map_or(0.0, |roomy| between(1.0 - roomy, 0.6, 0.95)) * (1.0 - feed_stale);
         let slow = self.slow.share(now, LEAST_OFFERS).map_or(0.0, |share| between(share, 0.3, 0.7));
         let down = between(self.down, 0.1, 0.4);
-        refusals.max(no_room).max(slow * (1.0 - loop_late)).max(down)
+        let full = between(self.said_full, 0.3, 0.7);
+        refusals.max(full).max(no_room).max(slow * (1.0 - loop_late)).max(down)
     }
 }
 
@@ -149,7 +153,7 @@
         let full = offers(Outcome::Full, Detail::NoCores, 0.0);
         assert_eq!((full.explains(1_000_000, 0.0, 0.0), full.explains(1_000_000, 1.0, 1.0)), (1.0, 1.0));
         let mut listed = Fleet::default();
-        listed.looked(Some(0.0), 0.0);
+        listed.looked(Some(0.0), 0.0, 0.0);
         assert_eq!((listed.explains(0, 0.0, 0.0), listed.explains(0, 0.0, 1.0)), (1.0, 0.0));
         assert_eq!(offers(Outcome::Timeout, Detail::None, 0.0).timeouts(1_000_000), Some(1.0));
         assert_eq!(offers(Outcome::Full, Detail::NotHere, 0.0).explains(1_000_000, 0.0, 0.0), 0.0);
--- a/src/health/mod.rs
+++ b/src/health/mod.rs
@@ -156,12 +156,15 @@
 /// Gauges that are read a few times a second.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Gauges {
-    /// Age of the oldest ask in hand over the aim of its class.
+    /// Age of the oldest ask in hand over the aim of its class; of those that no host has refused for want
+    /// of room.
     pub oldest: f64,
     /// The listed hosts by zone.
     pub zones: Vec<Zone>,
     /// Share of the listed hosts with room for an ordinary task; none where the list does not tell.
     pub roomy: Option<f64>,
+    /// Share of the listed hosts whose last word, not long ago, was that they are full.
+    pub full: f64,
     /// Descriptors in use over their budget.
     pub descriptors: f64,
     /// Queued bytes over their budget.
@@ -222,8 +225,9 @@
 pub enum Change {
     /// The state.
     State(Transition),
-    /// The weight: before, after, and the signal that holds it down, if one does.
-    Weight(u8, u8, Option<Code>),
+    /// The weight: before, after, the signal that holds it down, if one does, and how far the fleet
+    /// explains what goes badly.
+    Weight(u8, u8, Option<Code>, f64),
 }
 
 /// All that can be told.
@@ -301,7 +305,7 @@
             Event::Turn => {}
             Event::Look(gauges) => {
                 let (_, theirs) = unreached(&gauges.zones);
-                self.fleet.looked(gauges.roomy, theirs);
+                self.fleet.looked(gauges.roomy, gauges.full, theirs);
                 self.gauges = gauges;
             }
             Event::Answered { in_aim } => self.answers.add(now, f64::from(u8::from(!in_aim)), 1.0),
@@ -444,7 +448,7 @@
         }
         let mut changes = Vec::new();
         if self.weight.steer(now, target, cause, self.reaction()) {
-            changes.push(Change::Weight(before, self.weight.told(), cause));
+            changes.push(Change::Weight(before, self.weight.told(), cause, self.explained));
         }
         let (weight, started) = (self.weight.told(), now - self.came >= self.settings.slow_start);
         let why = cause.map_or("signals-clear", Code::as_str);
--- a/src/health/weight.rs
+++ b/src/health/weight.rs
@@ -22,8 +22,9 @@
 const CREEP: f64 = 0.1;
 /// A target that lies within this much below the weight is no reason to fall.
 const DEAD_BAND: f64 = 5.0;
-/// A rise is told in steps of at least this, or when it ends.
+/// A rise is told in steps of at least this and with at least so long between them, or when it ends.
 const STEP: f64 = 5.0;
+const STEP_PAUSE: Micros = SECOND;
 /// A fall leaves at least this part of the weight; the first of a row may go further where the cause can
 /// only be here.
 const LEAVES: f64 = 0.5;
@@ -192,7 +193,8 @@
         let most = counts.map_or(target, |c| target.min((PLATEAU * c.weight).max(self.exact)));
         self.exact = most.min(self.exact + speed * passed as f64);
         let ends = self.exact >= target && self.exact >= 100.0;
-        if self.exact - self.told >= STEP || (ends && self.told < 100.0) {
+        let paused = self.changes.back().is_none_or(|at| now - at >= STEP_PAUSE);
+        if (self.exact - self.told >= STEP && paused) || (ends && self.told < 100.0) {
             self.told = self.exact;
             self.rose = Some(now);
         }
--- a/src/net/dispatch.rs
+++ b/src/net/dispatch.rs
@@ -53,6 +53,8 @@
 const UNLISTED: Micros = 2_000 * MILLI;
 /// How long the end of a task is remembered.
 const ENDED: Micros = 10_000 * MILLI;
+/// How long a host's word that it is full counts.
+const FULL: Micros = 15_000 * MILLI;
 /// The part of the memory that queues may fill.
 const QUEUES: usize = 6;
 
@@ -111,6 +113,8 @@
     /// When it came, and the aim of its class.
     since: Micros,
     aim: Micros,
+    /// A host has refused it for want of room: it waits for room.
+    met_full: bool,
     /// Where it was set up or named, once it stands.
     home: Option<OwnerId>,
 }
@@ -493,7 +497,17 @@
         self.by_id.insert(id, ticket);
         let aim = self.facade.aim(class).unwrap_or(MILLI).max(MILLI);
         let owner = Some(owner);
-        let request = Request { id, owner, set_up: None, attempts: 0, state, since: now, aim, home: None };
+        let request = Request {
+            id,
+            owner,
+            set_up: None,
+            attempts: 0,
+            state,
+            since: now,
+            aim,
+            met_full: false,
+            home: None,
+        };
         self.requests.insert(ticket, request);
         ticket
     }
@@ -818,6 +832,9 @@
                     self.owners.prove(owner);
                     self.stands_for(ticket, owner);
                 }
+                if let Some(link) = self.hosts.get_mut(host) {
+                    link.full_at = None;
+                }
                 self.watch(now, Event::Offer { outcome: Outcome::Ok, detail: Detail::None, stretch });
                 self.watch(now, Event::Answered { in_aim });
                 self.tell(now, News::Placed { ticket, attempt, host: host.clone(), elapsed });
@@ -839,6 +856,10 @@
                     cause::MOOT => Outcome::Moot,
                     _ => Outcome::Reset,
                 };
+                if outcome == Outcome::Full && detail != Detail::NotHere {
+                    request.met_full = true;
+                    self.hosts.get_mut(host).into_iter().for_each(|link| link.full_at = Some(now));
+                }
                 let news = self.end_attempt(now, ticket, outcome, detail);
                 news.into_iter().for_each(|news| self.tell(now, news));
             }
@@ -956,7 +977,7 @@
             return;
         }
         let mut zones: BTreeMap<anisehead::ZoneId, Zone> = BTreeMap::new();
-        let (mut listed, mut roomy) = (0u32, 0u32);
+        let (mut listed, mut roomy, mut full) = (0u32, 0u32, 0u32);
         let ordinary = self.facade.ordinary();
         for link in self.hosts.values().filter(|link| link.state == HostState::Up) {
             let zone = zones.entry(link.zone).or_default();
@@ -967,12 +988,16 @@
             let fits =
                 ordinary.is_none_or(|size| link.free.iter().zip(size).all(|(free, asked)| *free >= asked));
             roomy += u32::from(fits);
+            full += u32::from(link.full_at.is_some_and(|at| now - at < FULL));
         }
-        let ages = self.requests.values().filter(|r| r.owes()).map(|r| (now - r.since) as f64 / r.aim as f64);
+        // What waits for room waits for the hosts.
+        let waits = |r: &&Request| r.owes() && !r.met_full;
+        let ages = self.requests.values().filter(waits).map(|r| (now - r.since) as f64 / r.aim as f64);
         let gauges = Gauges {
             oldest: ages.fold(0.0, f64::max),
             zones: zones.into_values().collect(),
             roomy: ordinary.filter(|_| listed > 0).map(|_| f64::from(roomy) / f64::from(listed)),
+            full: f64::from(full) / f64::from(listed.max(1)),
             descriptors: self.owners.live() as f64 / self.owners.budget(self.hosts_in_use()) as f64,
             queues: conn::queued_share(),
         };
--- a/src/net/health/watch.rs
+++ b/src/net/health/watch.rs
@@ -200,12 +200,13 @@
             Change::State(t) => {
                 info!(from = %t.from, to = %t.to, reason = t.why, weight = t.weight, "health state");
             }
-            Change::Weight(before, after, cause) => {
+            Change::Weight(before, after, cause, fleet) => {
+                let fleet = (100.0 * fleet).round() / 100.0;
                 let reason = cause.map_or("signals-clear", anisehead::health::Code::as_str);
                 if after < before {
-                    warn!(before, after, reason, "health weight");
+                    warn!(before, after, reason, fleet, "health weight");
                 } else {
-                    info!(before, after, reason, "health weight");
+                    info!(before, after, reason, fleet, "health weight");
                 }
             }
         }
--- a/src/net/hosts.rs
+++ b/src/net/hosts.rs
@@ -41,6 +41,8 @@
     /// Its zone, and the cores and memory that nobody asks for, as the list tells.
     pub zone: ZoneId,
     pub free: [f64; 2],
+    /// When it last said that it is full, if it has not started a task since.
+    pub full_at: Option<Micros>,
     /// When its process started, or 0.
     pub born: Micros,
     /// How far the connection is.
@@ -74,6 +76,7 @@
             zone: listed.entry.zone,
             free: [listed.entry.free_cores, listed.entry.free_memory],
             born: listed.entry.ready_at,
+            full_at: None,
             phase: Phase::Down,
             round: 0,
             doubted: Vec::new(),
--- a/tests/health_random.rs
+++ b/tests/health_random.rs
@@ -24,14 +24,15 @@
     let gauges = (
         figure.clone(),
         prop::collection::vec(zone, 0..4),
-        prop::option::of(0.0..1.0f64),
+        (prop::option::of(0.0..1.0f64), 0.0..1.0f64),
         figure.clone(),
         figure,
     )
-        .prop_map(|(oldest, zones, roomy, descriptors, queues)| Gauges {
+        .prop_map(|(oldest, zones, (roomy, full), descriptors, queues)| Gauges {
             oldest,
             zones,
             roomy,
+            full,
             descriptors,
             queues,
         });
@@ -81,7 +82,7 @@
             prop_assert!(report.signals.iter().all(|s| (0.0..=1.0).contains(&s.own) && (0.0..=100.0).contains(&s.cap)));
             prop_assert_eq!(report.cause.is_none(), report.signals.iter().all(|s| s.cap >= 100.0));
             for change in changes {
-                if let Change::Weight(before, after, _) = change {
+                if let Change::Weight(before, after, ..) = change {
                     prop_assert_ne!(before, after);
                     changed.push(now);
                 }
