A bench of what balancers' polls cost in CPU and placing time

Need: 1,000 polls a second must not delay a placing. benches/health_polls.rs measures none, agent checks and HTTP checks in one run.

--- /dev/null
+++ b/benches/health_polls.rs
@@ -0,0 +1,143 @@
+//! What polls cost: CPU of the placer and time to place, with none, with 1,000 agent checks a second and
+//! with 1,000 HTTP checks a second, one after another in one run.
+//!
+//! `cargo bench --bench health_polls [-- SECONDS]`
+
+use standin::live::{Books, Habits, LiveFeed, LiveHost};
+use standin::{Ask, Launch, Program, deployment, free_address, until};
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+const POLLERS: usize = 10;
+const RATE: f64 = 1_000.0;
+
+#[derive(Clone, Copy)]
+enum Load {
+    None,
+    Agent(SocketAddr),
+    Http(SocketAddr),
+}
+
+fn agent_poll(address: SocketAddr) -> Option<()> {
+    let mut stream = TcpStream::connect(address).ok()?;
+    stream.write_all(b"p\n").ok()?;
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).ok()?;
+    answer.starts_with("up ").then_some(())
+}
+
+fn http_poll(stream: &mut TcpStream) -> Option<()> {
+    stream.write_all(b"GET /readyz HTTP/1.1\r\nHost: t\r\n\r\n").ok()?;
+    let mut answer = [0; 512];
+    let n = stream.read(&mut answer).ok()?;
+    answer.get(..n)?.starts_with(b"HTTP/1.1 200").then_some(())
+}
+
+/// Polls at the rate until stopped; answers how many were answered.
+fn poll(load: Load, stop: &Arc<AtomicBool>, done: &Arc<AtomicU64>) -> Vec<std::thread::JoinHandle<()>> {
+    if matches!(load, Load::None) {
+        return Vec::new();
+    }
+    let poller = |_| {
+        let (stop, done) = (stop.clone(), done.clone());
+        std::thread::spawn(move || {
+            let start = Instant::now();
+            let mut kept = match load {
+                Load::Http(address) => TcpStream::connect(address).ok(),
+                _ => None,
+            };
+            for n in 0u32.. {
+                let due = start + Duration::from_secs_f64(f64::from(n) * POLLERS as f64 / RATE);
+                std::thread::sleep(due.saturating_duration_since(Instant::now()));
+                if stop.load(Ordering::Relaxed) {
+                    return;
+                }
+                let answered = match load {
+                    Load::Agent(address) => agent_poll(address),
+                    Load::Http(_) => kept.as_mut().and_then(http_poll),
+                    Load::None => None,
+                };
+                done.fetch_add(u64::from(answered.is_some()), Ordering::Relaxed);
+            }
+        })
+    };
+    (0..POLLERS).map(poller).collect()
+}
+
+struct Figures {
+    cpu: f64,
+    median: Duration,
+    p99: Duration,
+    polls: f64,
+}
+
+/// Places 50 tasks a second for a while under a load of polls.
+fn measure(program: &Program, load: Load, span: Duration, first_id: &mut u64) -> Figures {
+    let (stop, done) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicU64::new(0)));
+    let pollers = poll(load, &stop, &done);
+    std::thread::sleep(Duration::from_millis(500));
+    let (cpu, begun, mut waits) = (program.cpu(), Instant::now(), Vec::new());
+    done.store(0, Ordering::Relaxed);
+    let mut owner = program.owner();
+    while begun.elapsed() < span {
+        let due = begun + Duration::from_millis(20 * waits.len() as u64);
+        std::thread::sleep(due.saturating_duration_since(Instant::now()));
+        *first_id += 1;
+        owner.set_up(*first_id, &Ask { class: "quick", wait_ms: 6_000, service: *first_id, at: None });
+        loop {
+            let message = owner.read();
+            match (message.kind, message.id == *first_id) {
+                (9, true) => break,
+                (12, false) => owner.heard(message.id),
+                other => panic!("{other:?}"),
+            }
+        }
+        waits.push(due.elapsed());
+    }
+    let (passed, used) = (begun.elapsed().as_secs_f64(), (program.cpu() - cpu).as_secs_f64());
+    let polls = done.load(Ordering::Relaxed) as f64 / passed;
+    stop.store(true, Ordering::Relaxed);
+    pollers.into_iter().for_each(|poller| poller.join().expect("a poller"));
+    waits.sort();
+    Figures { cpu: used / passed, median: waits[waits.len() / 2], p99: waits[waits.len() * 99 / 100], polls }
+}
+
+fn main() {
+    let seconds = std::env::args().filter_map(|arg| arg.parse().ok()).next().unwrap_or(10);
+    let span = Duration::from_secs(seconds);
+    let books: Arc<Mutex<Books>> = Arc::default();
+    let habits = Habits { start: Duration::from_millis(5), life: Duration::from_secs(1), room: 10_000 };
+    let hosts: Vec<LiveHost> =
+        (0..4).map(|n| LiveHost::start(&format!("h{n}"), "north", habits.clone(), books.clone())).collect();
+    let feed = LiveFeed::start();
+    let config = deployment("n0", 0, 1, &feed.address(), hosts.iter().map(|host| host.entry("up")).collect());
+    let (agent, http) = (free_address(), free_address());
+    let operator = format!("[health]\nagent = [\"{agent}\"]\nhttp = [\"{http}\"]\n");
+    let program = Launch::new(&config).operator(&operator).start();
+    until("it answers", || agent_poll(agent));
+    let mut id = 0;
+    let mut base = None;
+    println!(
+        "{:<8} {:>8} {:>8} {:>12} {:>12} {:>10}",
+        "polls", "a second", "cpu", "median", "p99", "cpu ratio"
+    );
+    for (name, load) in [
+        ("none", Load::None),
+        ("agent", Load::Agent(agent)),
+        ("http", Load::Http(http)),
+        ("none", Load::None),
+    ] {
+        let f = measure(&program, load, span, &mut id);
+        let ratio = f.cpu / *base.get_or_insert(f.cpu);
+        println!(
+            "{name:<8} {:>8.0} {:>7.1}% {:>12.1?} {:>12.1?} {ratio:>10.2}",
+            f.polls,
+            100.0 * f.cpu,
+            f.median,
+            f.p99
+        );
+    }
+}
