--- a/crates/load/src/arrivals.rs
+++ b/crates/load/src/arrivals.rs
@@ -64,7 +64,9 @@
             // Mean 1 and the given coefficient of variation.
             let order = 1.0 / (cv * cv);
             match Gamma::new(order, 1.0 / order) {
-                Ok(gaps) => laid(shape, std::iter::repeat_with(|| gaps.sample(&mut *rng)).take(MOST_ARRIVALS)),
+                Ok(gaps) => {
+                    laid(shape, std::iter::repeat_with(|| gaps.sample(&mut *rng)).take(MOST_ARRIVALS))
+                }
                 Err(_) => Vec::new(),
             }
         }
@@ -150,9 +152,13 @@
         let tenant = draw(&mut marks, plan.tenants.iter().map(|tenant: &Tenant| tenant.arrivals()));
         let services = chosen.services.max(1) as usize;
         let service = draw(&mut marks, (0..services).map(|rank| zipf(rank, plan.arrivals.service_skew)));
-        let room = draw(&mut marks, (0..plan.rooms.len().max(1)).map(|rank| zipf(rank, plan.arrivals.room_skew)));
+        let room =
+            draw(&mut marks, (0..plan.rooms.len().max(1)).map(|rank| zipf(rank, plan.arrivals.room_skew)));
         let size = chosen.sizes.get(service % chosen.sizes.len().max(1)).copied().unwrap_or([1.0, 1.0]);
-        let batch = plan.arrivals.batch.map_or(1, |Batch { least, most }| marks.random_range(least..=most.max(least)));
+        let batch = plan
+            .arrivals
+            .batch
+            .map_or(1, |Batch { least, most }| marks.random_range(least..=most.max(least)));
         for _ in 0..batch {
             let life = life(chosen, &mut marks);
             let service = service as u32;
@@ -166,7 +172,8 @@
     let mean = class.life.as_micros() as f64;
     // Lognormal with this mean.
     let spread = class.life_sigma;
-    let drawn = LogNormal::new(mean.max(1.0).ln() - spread * spread / 2.0, spread).map_or(mean, |d| d.sample(rng));
+    let drawn =
+        LogNormal::new(mean.max(1.0).ln() - spread * spread / 2.0, spread).map_or(mean, |d| d.sample(rng));
     drawn.clamp(1e3, 1e12) as Micros
 }
 
@@ -183,8 +190,12 @@
         Plan::parse(&text).expect("a plan")
     }
 
-    const PROCESSES: [&str; 4] =
-        ["{ kind = \"poisson\" }", "{ kind = \"even\" }", "{ kind = \"gamma\", cv = 2.0 }", "{ kind = \"markov\", high = 4.0, stay = 20.0 }"];
+    const PROCESSES: [&str; 4] = [
+        "{ kind = \"poisson\" }",
+        "{ kind = \"even\" }",
+        "{ kind = \"gamma\", cv = 2.0 }",
+        "{ kind = \"markov\", high = 4.0, stay = 20.0 }",
+    ];
 
     #[test]
     fn the_same_plan_and_seed_give_the_same_arrivals_and_another_seed_others() {
@@ -212,7 +223,11 @@
                 let found = all.iter().filter(|a| (phase.start..end).contains(&a.due)).count() as f64;
                 // Five times the deviation that the least even of these processes has.
                 let slack = 5.0 * 4.0 * expected.sqrt() + 1.0;
-                assert!((found - expected).abs() <= slack, "{process}, {}: {found} of {expected}", phase.name);
+                assert!(
+                    (found - expected).abs() <= slack,
+                    "{process}, {}: {found} of {expected}",
+                    phase.name
+                );
             }
         }
     }
@@ -250,7 +265,9 @@
         let mut groups = std::collections::BTreeMap::<Micros, Vec<&Arrival>>::new();
         all.iter().for_each(|a| groups.entry(a.due).or_default().push(a));
         assert!(groups.values().all(|group| (2..=8).contains(&group.len())));
-        assert!(groups.values().filter(|g| g.len() <= 4).all(|g| g.iter().all(|a| a.service == g[0].service)));
+        assert!(
+            groups.values().filter(|g| g.len() <= 4).all(|g| g.iter().all(|a| a.service == g[0].service))
+        );
         let of = |room| all.iter().filter(|a| a.room == room).count();
         assert!(of(0) > 3 * of(1) && of(1) > of(2), "{} {} {}", of(0), of(1), of(2));
         let first = all.iter().filter(|a| a.class == 0 && a.service == 0).count();
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -1,6 +1,15 @@
 //! Rehearsals: plans, arrivals that wait for nobody, owners that act like owners, and what is made of it.
 
+#![recursion_limit = "256"]
+
 pub mod arrivals;
+pub mod director;
+pub mod front;
 pub mod owners;
 pub mod plan;
+pub mod report;
+pub mod results;
+pub mod run;
+pub mod search;
 pub mod shape;
+pub mod table;
--- a/crates/load/src/owners.rs
+++ b/crates/load/src/owners.rs
@@ -275,6 +275,18 @@
         }
     }
 
+    /// Whether a set-up waits for its answer.
+    pub fn is_open(&self, id: u64) -> bool {
+        let task = self.by_id.get(&id).and_then(|key| self.tasks.get(key));
+        task.is_some_and(|task| matches!(task.state, State::Asked { id: open, .. } if open == id))
+    }
+
+    /// Tasks that settle.
+    pub fn settling(&self) -> Vec<u64> {
+        let settling = self.tasks.iter().filter(|(_, task)| matches!(task.state, State::Settling { .. }));
+        settling.map(|(key, _)| *key).collect()
+    }
+
     /// The key of a task by the id of one of its attempts.
     pub fn key(&self, id: u64) -> Option<u64> {
         self.by_id.get(&id).copied()
@@ -301,7 +313,8 @@
                 let key = wanted.key;
                 let honours = self.rng.random::<f64>() < self.settings.honour;
                 let state = State::Backoff { until: now };
-                self.tasks.insert(key, Task { wanted, state, failures: 0, attempts: 0, honours, ids: Vec::new() });
+                self.tasks
+                    .insert(key, Task { wanted, state, failures: 0, attempts: 0, honours, ids: Vec::new() });
                 self.ask(now, key, &mut effects);
             }
             Event::Word(id, word) => self.word(now, id, word, &mut effects),
@@ -375,7 +388,14 @@
     }
 
     /// An attempt brought nothing; it may have run where `may_run`.
-    fn nothing_came(&mut self, now: Micros, id: u64, may_run: bool, away: Option<Micros>, effects: &mut Vec<Effect>) {
+    fn nothing_came(
+        &mut self,
+        now: Micros,
+        id: u64,
+        may_run: bool,
+        away: Option<Micros>,
+        effects: &mut Vec<Effect>,
+    ) {
         let Some(&key) = self.by_id.get(&id) else { return };
         let Some(task) = self.tasks.get_mut(&key) else { return };
         if !matches!(task.state, State::Asked { id: open, .. } if open == id) {
@@ -424,7 +444,9 @@
             Policy::Fixed => base,
             Policy::Exponential => doubled,
             // Never at once: a wait of nothing is no wait.
-            Policy::Jitter | Policy::Budget => self.rng.random_range(base / 4..=doubled.saturating_mul(2).min(most).max(base)),
+            Policy::Jitter | Policy::Budget => {
+                self.rng.random_range(base / 4..=doubled.saturating_mul(2).min(most).max(base))
+            }
         }
     }
 
@@ -459,7 +481,9 @@
                 // Given up, it may have run: the answer may be on its way.
                 self.nothing_came(now, id, true, None, effects);
             }
-            State::Backoff { until } | State::Settling { until } if until <= now => self.ask(now, key, effects),
+            State::Backoff { until } | State::Settling { until } if until <= now => {
+                self.ask(now, key, effects)
+            }
             State::Standing { .. } if task.wanted.over <= now => {
                 // Its host ends it; a word that never comes is waited for a little.
                 let late = task.wanted.over + END_SLACK;
@@ -549,7 +573,8 @@
         let waits = |policy| {
             let mut owners = owners(policy);
             let mut now = 0;
-            let mut id = asked(&owners.handle(now, Event::Due(Wanted { over: 1_000 * SECOND, ..wanted(1, false) })));
+            let mut id =
+                asked(&owners.handle(now, Event::Due(Wanted { over: 1_000 * SECOND, ..wanted(1, false) })));
             let mut waits = Vec::new();
             while let Some(open) = id.filter(|_| waits.len() < 6) {
                 let refused = now;
@@ -563,7 +588,10 @@
         assert_eq!(waits(Policy::Fixed), [1_000; 6]);
         assert_eq!(waits(Policy::Exponential), [1_000, 2_000, 4_000, 8_000, 8_000, 8_000]);
         let jitter = waits(Policy::Jitter);
-        assert!(jitter.iter().all(|w| (250..=8_010).contains(w)) && jitter.windows(2).any(|w| w[0] != w[1]), "{jitter:?}");
+        assert!(
+            jitter.iter().all(|w| (250..=8_010).contains(w)) && jitter.windows(2).any(|w| w[0] != w[1]),
+            "{jitter:?}"
+        );
     }
 
     #[test]
--- a/crates/load/src/plan.rs
+++ b/crates/load/src/plan.rs
@@ -15,8 +15,9 @@
 
     pub fn deserialize<'de, D: Deserializer<'de>>(from: D) -> Result<Duration, D::Error> {
         let text = String::deserialize(from)?;
-        humantime::parse_duration(&text)
-            .map_err(|e| serde::de::Error::custom(format!("expected a duration such as \"250ms\", found \"{text}\": {e}")))
+        humantime::parse_duration(&text).map_err(|e| {
+            serde::de::Error::custom(format!("expected a duration such as \"250ms\", found \"{text}\": {e}"))
+        })
     }
 
     pub fn serialize<S: Serializer>(span: &Duration, to: S) -> Result<S::Ok, S::Error> {
@@ -67,9 +68,14 @@
             hosts: Hosts::default(),
             feed: Feed::default(),
             classes: vec![Class::default(), Class::totalizador()],
-            tenants: [("escritorio-rs", 0.34), ("escritorio-pr", 0.27), ("escritorio-sc", 0.25), ("escritorio-ms", 0.14)]
-                .map(|(name, share)| Tenant { name: name.into(), share, flood: 1.0 })
-                .to_vec(),
+            tenants: [
+                ("escritorio-rs", 0.34),
+                ("escritorio-pr", 0.27),
+                ("escritorio-sc", 0.25),
+                ("escritorio-ms", 0.14),
+            ]
+            .map(|(name, share)| Tenant { name: name.into(), share, flood: 1.0 })
+            .to_vec(),
             arrivals: Arrivals::default(),
             owners: Owners::default(),
             faults: Vec::new(),
@@ -174,7 +180,11 @@
 
 impl Default for Feed {
     fn default() -> Feed {
-        Feed { late_from: Duration::from_millis(200), late_to: Duration::from_millis(800), refresh: Duration::from_secs(2) }
+        Feed {
+            late_from: Duration::from_millis(200),
+            late_to: Duration::from_millis(800),
+            refresh: Duration::from_secs(2),
+        }
     }
 }
 
@@ -477,7 +487,8 @@
 impl Plan {
     /// Reads a file.
     pub fn load(path: &Path) -> Result<Plan, PlanError> {
-        let text = std::fs::read_to_string(path).map_err(|e| PlanError(format!("{}: {e}", path.display())))?;
+        let text =
+            std::fs::read_to_string(path).map_err(|e| PlanError(format!("{}: {e}", path.display())))?;
         Plan::parse(&text).map_err(|e| PlanError(format!("{}: {e}", path.display())))
     }
 
@@ -507,57 +518,116 @@
         let share = |value: f64| (0.0..=1.0).contains(&value);
         let positive = |value: f64| value.is_finite() && value > 0.0;
         want(!self.rooms.is_empty(), "rooms: expected at least one".into());
-        want((1..=64).contains(&self.placers.count), format!("placers.count: expected 1 to 64, found {}", self.placers.count));
-        want((1..=512).contains(&self.hosts.count), format!("hosts.count: expected 1 to 512, found {}", self.hosts.count));
+        want(
+            (1..=64).contains(&self.placers.count),
+            format!("placers.count: expected 1 to 64, found {}", self.placers.count),
+        );
+        want(
+            (1..=512).contains(&self.hosts.count),
+            format!("hosts.count: expected 1 to 512, found {}", self.hosts.count),
+        );
         want(self.hosts.rack > 0, "hosts.rack: expected at least 1".into());
-        want(positive(self.hosts.cores) && positive(self.hosts.memory), "hosts.cores, hosts.memory: expected more than 0".into());
-        want(self.hosts.starts > 0 && self.hosts.queue > 0, "hosts.starts, hosts.queue: expected at least 1".into());
-        want(positive(self.hosts.cold_from) && self.hosts.cold_from <= 1.0, "hosts.cold-from: expected more than 0, at most 1".into());
+        want(
+            positive(self.hosts.cores) && positive(self.hosts.memory),
+            "hosts.cores, hosts.memory: expected more than 0".into(),
+        );
+        want(
+            self.hosts.starts > 0 && self.hosts.queue > 0,
+            "hosts.starts, hosts.queue: expected at least 1".into(),
+        );
+        want(
+            positive(self.hosts.cold_from) && self.hosts.cold_from <= 1.0,
+            "hosts.cold-from: expected more than 0, at most 1".into(),
+        );
         want(self.hosts.cold_start >= 1.0, "hosts.cold-start: expected at least 1".into());
         want(self.feed.late_from <= self.feed.late_to, "feed.late-to: shorter than feed.late-from".into());
         want(!self.classes.is_empty(), "class: expected at least one".into());
         for (n, class) in self.classes.iter().enumerate() {
-            want(!class.sizes.is_empty() && class.sizes.iter().flatten().all(|v| positive(*v)), format!("class {n}: sizes: expected pairs of cores and memory over 0"));
+            want(
+                !class.sizes.is_empty() && class.sizes.iter().flatten().all(|v| positive(*v)),
+                format!("class {n}: sizes: expected pairs of cores and memory over 0"),
+            );
             want(class.aim <= class.limit, format!("class {n}: aim is longer than limit"));
-            want(class.share.is_finite() && class.share >= 0.0, format!("class {n}: share: expected 0 or more"));
+            want(
+                class.share.is_finite() && class.share >= 0.0,
+                format!("class {n}: share: expected 0 or more"),
+            );
             want((0.0..=3.0).contains(&class.life_sigma), format!("class {n}: life-sigma: expected 0 to 3"));
             want(class.priority <= 3, format!("class {n}: priority: expected 0 to 3"));
             let fits = class.sizes.iter().all(|[c, m]| *c <= self.hosts.cores && *m <= self.hosts.memory);
             want(fits, format!("class {n}: sizes: one fits no host"));
-            want(self.classes.iter().filter(|other| other.name == class.name).count() == 1, format!("class {n}: {} is there twice", class.name));
+            want(
+                self.classes.iter().filter(|other| other.name == class.name).count() == 1,
+                format!("class {n}: {} is there twice", class.name),
+            );
         }
         want(self.classes.iter().map(|c| c.share).sum::<f64>() > 0.0, "class: the shares are all 0".into());
-        want(self.classes.iter().any(|c| c.name == self.aims.class), format!("aims.class: no class {}", self.aims.class));
+        want(
+            self.classes.iter().any(|c| c.name == self.aims.class),
+            format!("aims.class: no class {}", self.aims.class),
+        );
         want(!self.tenants.is_empty(), "tenant: expected at least one".into());
-        want(self.tenants.iter().all(|t| positive(t.arrivals())), "tenant: share and flood: expected more than 0".into());
+        want(
+            self.tenants.iter().all(|t| positive(t.arrivals())),
+            "tenant: share and flood: expected more than 0".into(),
+        );
         match self.arrivals.process {
-            Process::Gamma { cv } => want((0.05..=10.0).contains(&cv), format!("arrivals.process.cv: expected 0.05 to 10, found {cv}")),
+            Process::Gamma { cv } => want(
+                (0.05..=10.0).contains(&cv),
+                format!("arrivals.process.cv: expected 0.05 to 10, found {cv}"),
+            ),
             Process::Markov { high, stay } => {
-                want((1.0..=1e3).contains(&high) && positive(stay), "arrivals.process: high: expected 1 to 1000; stay: more than 0".into());
+                want(
+                    (1.0..=1e3).contains(&high) && positive(stay),
+                    "arrivals.process: high: expected 1 to 1000; stay: more than 0".into(),
+                );
             }
             Process::Even | Process::Poisson => {}
         }
         if let Some(batch) = self.arrivals.batch {
-            want(batch.least >= 1 && batch.least <= batch.most && batch.most <= 1_000, "arrivals.batch: expected 1 <= least <= most <= 1000".into());
+            want(
+                batch.least >= 1 && batch.least <= batch.most && batch.most <= 1_000,
+                "arrivals.batch: expected 1 <= least <= most <= 1000".into(),
+            );
         }
         let skew = |value: f64| (0.0..=5.0).contains(&value);
-        want(skew(self.arrivals.service_skew) && skew(self.arrivals.room_skew), "arrivals.service-skew, room-skew: expected 0 to 5".into());
-        want(share(self.owners.honour) && share(self.aims.share), "owners.honour, aims.share: expected 0 to 1".into());
+        want(
+            skew(self.arrivals.service_skew) && skew(self.arrivals.room_skew),
+            "arrivals.service-skew, room-skew: expected 0 to 5".into(),
+        );
+        want(
+            share(self.owners.honour) && share(self.aims.share),
+            "owners.honour, aims.share: expected 0 to 1".into(),
+        );
         want((1..=256).contains(&self.owners.connections), "owners.connections: expected 1 to 256".into());
-        want(self.owners.base <= self.owners.most && !self.owners.base.is_zero(), "owners.base: expected more than 0s and at most owners.most".into());
-        want(self.owners.budget.is_finite() && self.owners.budget >= 0.0, "owners.budget: expected 0 or more".into());
+        want(
+            self.owners.base <= self.owners.most && !self.owners.base.is_zero(),
+            "owners.base: expected more than 0s and at most owners.most".into(),
+        );
+        want(
+            self.owners.budget.is_finite() && self.owners.budget >= 0.0,
+            "owners.budget: expected 0 or more".into(),
+        );
         if self.owners.spread == Spread::Agent {
             let opens = self.placers.operator.as_ref().is_some_and(|text| text.contains("{agent}"));
-            want(opens, "owners.spread: agent: [placers] operator must open an agent check at {agent}".into());
+            want(
+                opens,
+                "owners.spread: agent: [placers] operator must open an agent check at {agent}".into(),
+            );
         }
         for (n, fault) in self.faults.iter().enumerate() {
             use FaultKind::*;
             let most = match fault.kind {
-                PlacerKill | PlacerStop | PlacerRestart | FeedCut | FeedSilent | FeedDoubled | FeedMoved => self.placers.count,
+                PlacerKill | PlacerStop | PlacerRestart | FeedCut | FeedSilent | FeedDoubled | FeedMoved => {
+                    self.placers.count
+                }
                 RackDie => self.hosts.count.div_ceil(self.hosts.rack.max(1)),
                 _ => self.hosts.count,
             };
-            want(fault.which < most, format!("fault {n}: which: there are {most}, counted from 0, found {}", fault.which));
+            want(
+                fault.which < most,
+                format!("fault {n}: which: there are {most}, counted from 0, found {}", fault.which),
+            );
         }
         found
     }
@@ -585,7 +655,10 @@
             ("[placers]\ncount = 0", "placers.count: expected 1 to 64, found 0"),
             ("[[class]]\nsizes = [[99, 1]]", "one fits no host"),
             ("[[class]]\nname = \"a\"", "aims.class: no class pagina"),
-            ("[[fault]]\nat = \"1s\"\nkind = \"placer-kill\"\nwhich = 3", "fault 0: which: there are 3, counted from 0, found 3"),
+            (
+                "[[fault]]\nat = \"1s\"\nkind = \"placer-kill\"\nwhich = 3",
+                "fault 0: which: there are 3, counted from 0, found 3",
+            ),
             ("[[fault]]\nat = \"1s\"\nkind = \"flood\"", "unknown variant"),
             ("[owners]\nspread = \"agent\"", "must open an agent check"),
             ("[arrivals]\nprocess = { kind = \"gamma\", cv = 0 }", "cv: expected 0.05 to 10"),
--- a/crates/load/src/shape.rs
+++ b/crates/load/src/shape.rs
@@ -156,7 +156,14 @@
         let line = before.matches('\n').count();
         let column = before.rsplit('\n').next().map_or(0, |last| last.chars().count());
         let shown = self.text.lines().nth(line).unwrap_or_default();
-        write!(f, "line {}, column {}: {}\n  {shown}\n  {}^", line + 1, column + 1, self.what, " ".repeat(column))
+        write!(
+            f,
+            "line {}, column {}: {}\n  {shown}\n  {}^",
+            line + 1,
+            column + 1,
+            self.what,
+            " ".repeat(column)
+        )
     }
 }
 
@@ -223,7 +230,12 @@
     );
     let wave = preceded(
         word("wave"),
-        cut_err((rate, preceded(word(".."), rate), preceded(word("every"), span), preceded(word("for"), span))),
+        cut_err((
+            rate,
+            preceded(word(".."), rate),
+            preceded(word("every"), span),
+            preceded(word("for"), span),
+        )),
     );
     let burst = preceded(word("burst"), cut_err((number, preceded(word("in"), span))));
     alt((
@@ -247,10 +259,14 @@
 
 fn item(input: &mut &str) -> Res<Item> {
     let name = opt(name).parse_next(input)?;
-    let count = terminated(preceded(multispace0, digit1.try_map(str::parse::<u32>)), (multispace0, "x", multispace0, "("));
+    let count = terminated(
+        preceded(multispace0, digit1.try_map(str::parse::<u32>)),
+        (multispace0, "x", multispace0, "("),
+    );
     if let Some(count) = opt(count).parse_next(input)? {
         if count == 0 || count > MOST_REPEATS {
-            return Err(ErrMode::Cut(ContextError::new())).context_here(input, "a count of repeats from 1 to 1000");
+            return Err(ErrMode::Cut(ContextError::new()))
+                .context_here(input, "a count of repeats from 1 to 1000");
         }
         let items = cut_err(terminated(items, word(")"))).parse_next(input)?;
         return Ok(Item::Repeat(name, count, items));
@@ -310,10 +326,14 @@
             Item::Phase(name, verb) => {
                 let (course, length, kind) = match *verb {
                     Verb::Level(rate, length) => (Course::Level(rate), length, "level"),
-                    Verb::To(rate, length) => (Course::Line(*last, rate), length, if rate >= *last { "rise" } else { "fall" }),
+                    Verb::To(rate, length) => {
+                        (Course::Line(*last, rate), length, if rate >= *last { "rise" } else { "fall" })
+                    }
                     Verb::Hold(length) => (Course::Level(*last), length, "hold"),
                     Verb::Wave(low, high, every, length) => (Course::Wave(low, high, every), length, "wave"),
-                    Verb::Burst(count, length) => (Course::Level(count * SECOND / length as f64), length, "burst"),
+                    Verb::Burst(count, length) => {
+                        (Course::Level(count * SECOND / length as f64), length, "burst")
+                    }
                     Verb::Silence(length) => (Course::Level(0.0), length, "silence"),
                 };
                 let start = shape.length();
@@ -347,8 +367,22 @@
         let shape = parse(WHOLE).expect("a shape");
         assert_eq!(shape.phases.len(), 6);
         assert_eq!(shape.length(), 118_500_000);
-        for (at, rate) in [(0.0, 8.0), (29.9, 8.0), (32.5, 24.0), (40.0, 40.0), (55.0, 20.0), (60.0, 40.0), (115.1, 400.0), (117.0, 0.0), (200.0, 0.0)] {
-            assert!((shape.rate((at * SECOND) as Micros) - rate).abs() < 0.5, "{at}: {}", shape.rate((at * SECOND) as Micros));
+        for (at, rate) in [
+            (0.0, 8.0),
+            (29.9, 8.0),
+            (32.5, 24.0),
+            (40.0, 40.0),
+            (55.0, 20.0),
+            (60.0, 40.0),
+            (115.1, 400.0),
+            (117.0, 0.0),
+            (200.0, 0.0),
+        ] {
+            assert!(
+                (shape.rate((at * SECOND) as Micros) - rate).abs() < 0.5,
+                "{at}: {}",
+                shape.rate((at * SECOND) as Micros)
+            );
         }
         let expected = 240.0 + 120.0 + 800.0 + 1_800.0 + 200.0;
         assert!((shape.expected(shape.length()) - expected).abs() < 1e-6);
@@ -357,10 +391,15 @@
 
     #[test]
     fn names_repeats_and_units() {
-        let shape = parse("calm: 60/m for 1m30s, polls: 3x(burst 20 in 1s, hold 4s), fall to 0/s over 2s").expect("a shape");
+        let shape = parse("calm: 60/m for 1m30s, polls: 3x(burst 20 in 1s, hold 4s), fall to 0/s over 2s")
+            .expect("a shape");
         let names: Vec<&str> = shape.phases.iter().map(|p| p.name.as_str()).collect();
         assert_eq!(names, ["calm", "polls", "polls", "polls", "polls", "polls", "polls", "fall"]);
-        assert_eq!((shape.rate(0), shape.rate(92_000_000)), (1.0, 1.0), "after a burst the rate before goes on");
+        assert_eq!(
+            (shape.rate(0), shape.rate(92_000_000)),
+            (1.0, 1.0),
+            "after a burst the rate before goes on"
+        );
         assert_eq!(shape.length(), 107_000_000);
         assert_eq!(shape.scaled(2.0).rate(0), 2.0);
     }
--- /dev/null
+++ b/crates/load/tests/rehearsal.rs
@@ -0,0 +1,279 @@
+//! Rehearsals on loopback with the real placer, short enough for CI.
+
+use load::plan::Plan;
+use load::results::{findings, summarize};
+use load::run::{Options, Outcome, run};
+use standin::machine::{Micros, Offer};
+use standin::site::describe;
+use standin::{Message, bytes};
+use std::collections::HashMap;
+use std::io::{Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+const MILLI: Micros = 1_000;
+
+/// The placer, built on the way where the test runs alone. A lock keeps the runs apart: each needs the cores.
+fn placer() -> PathBuf {
+    static BUILT: std::sync::Once = std::sync::Once::new();
+    let binary = standin::binary();
+    BUILT.call_once(|| {
+        let cargo = std::env::var("CARGO").unwrap_or_else(|_| "cargo".into());
+        let root = concat!(env!("CARGO_MANIFEST_DIR"), "/../..");
+        let built = std::process::Command::new(cargo)
+            .args(["build", "--locked", "--bin", "anisehead", "--manifest-path"])
+            .arg(format!("{root}/Cargo.toml"))
+            .status();
+        assert!(built.is_ok_and(|status| status.success()), "the placer builds");
+    });
+    binary
+}
+
+fn rehearse(plan: &str) -> (Outcome, tempfile::TempDir) {
+    static ALONE: Mutex<()> = Mutex::new(());
+    let _alone = ALONE.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+    let folder = tempfile::tempdir().expect("a folder");
+    let plan = Plan::parse(plan).expect("a plan");
+    let guard = Some(PathBuf::from(env!("CARGO_BIN_EXE_anisehead-load")));
+    let options = Options { placer: placer(), guard, folder: folder.path().to_path_buf(), progress: false };
+    (run(&plan, &options).expect("a run"), folder)
+}
+
+fn clean(outcome: &Outcome) {
+    assert!(outcome.findings.is_empty(), "{}", findings(outcome, 3));
+}
+
+/// Short lives, so that the end of a run is not far.
+const CLASSES: &str = "
+[owners]
+drain = \"6s\"
+[aims]
+own-lateness = \"200ms\"
+[[class]]
+name = \"pagina\"
+life = \"2s\"
+[[class]]
+name = \"totalizador\"
+share = 0.05
+once = true
+aim = \"5500ms\"
+limit = \"9500ms\"
+life = \"4s\"
+services = 6
+sizes = [[4.0, 6.0]]
+priority = 2
+most-in-room = 0
+";
+
+#[test]
+fn eight_a_second_rising_to_forty_is_answered_and_counted_as_an_independent_count_has_it() {
+    let plan =
+        format!("seed = 5\n[arrivals]\nshape = \"8/s for 3s, rise to 40/s over 2s, hold 3s\"\n{CLASSES}");
+    let (outcome, _folder) = rehearse(&plan);
+    clean(&outcome);
+    let summary = summarize(&outcome);
+    assert!(
+        outcome.tasks.len() > 120 && outcome.tasks.iter().all(|t| t.started.is_some()),
+        "{}",
+        summary.text(&outcome)
+    );
+    // Counted again from the raw times, by sorting: within the histogram's resolution, one in a thousand.
+    let mut raw: Vec<Micros> = outcome.tasks.iter().filter_map(|t| t.started).collect();
+    raw.sort_unstable();
+    let all = summary.group("all").expect("a group");
+    for part in [0.5, 0.9, 0.99, 1.0] {
+        let rank = (part * raw.len() as f64).ceil() as usize;
+        let (counted, told) =
+            (raw[rank - 1] as f64, all.percentile(part).expect("a latency").as_micros() as f64);
+        assert!((told - counted).abs() <= counted * 0.002 + 1.0, "{part}: counted {counted}, told {told}");
+    }
+}
+
+#[test]
+fn tasks_due_while_a_placer_stands_still_are_as_late_as_they_were() {
+    let plan = "seed = 3
+rooms = [\"one\"]
+[placers]
+count = 1
+[hosts]
+count = 4
+look = \"1ms\"
+start = \"5ms\"
+cold-start = 1.0
+[arrivals]
+shape = \"40/s for 4s\"
+process = { kind = \"even\" }
+[aims]
+own-lateness = \"200ms\"
+[owners]
+drain = \"5s\"
+[[class]]
+name = \"pagina\"
+share = 1.0
+life = \"1s\"
+most-in-room = 0
+[[fault]]
+at = \"1500ms\"
+length = \"1s\"
+kind = \"placer-stop\"
+";
+    let (outcome, _folder) = rehearse(plan);
+    clean(&outcome);
+    let within = |from: Micros, to: Micros| {
+        outcome.tasks.iter().filter(move |t| (from * MILLI..to * MILLI).contains(&t.arrival.due))
+    };
+    // All that were due in the stall are there. The director acts up to its look late.
+    let stalled: Vec<Micros> = within(1_600, 2_450).filter_map(|t| t.started).collect();
+    assert_eq!((within(1_500, 2_500).count(), stalled.len()), (40, within(1_600, 2_450).count()));
+    for task in within(1_600, 2_450) {
+        // It could not start before the placer went on.
+        let least = 2_500 * MILLI - task.arrival.due - 20 * MILLI;
+        let started = task.started.expect("a start");
+        assert!(started >= least && started < least + 1_200 * MILLI, "due {}: {started}", task.arrival.due);
+    }
+    // What a closed loop sees: one request at a time, the next when the one before is answered.
+    let mut closed = Vec::new();
+    let mut at = 0;
+    while let Some(task) = outcome.tasks.iter().find(|t| t.arrival.due >= at) {
+        let started = task.started.expect("a start");
+        closed.push(started);
+        at = task.arrival.due + started.max(25 * MILLI);
+    }
+    let over = |all: &[Micros]| all.iter().filter(|after| **after > 500 * MILLI).count();
+    let open: Vec<Micros> = outcome.tasks.iter().filter_map(|t| t.started).collect();
+    eprintln!(
+        "over 500 ms: {} of {} open, {} of {} closed",
+        over(&open),
+        open.len(),
+        over(&closed),
+        closed.len()
+    );
+    assert!(over(&open) >= 18 && over(&closed) <= 3, "{} {}", over(&open), over(&closed));
+}
+
+#[test]
+fn killed_restarted_and_drained_placers_dying_hosts_and_broken_feeds_leave_the_audit_clean() {
+    let faults = [
+        ("1500ms", "1500ms", "placer-kill", 0),
+        ("4s", "2500ms", "placer-restart", 1),
+        ("2s", "4s", "host-drain", 2),
+        ("3s", "3s", "rack-die", 2),
+        ("1s", "3s", "host-silent", 1),
+        ("2500ms", "1s", "host-reset-after", 6),
+        ("3500ms", "1s", "host-spoilt", 7),
+        ("2s", "2s", "feed-cut", 2),
+        ("5s", "2s", "feed-silent", 0),
+        ("1s", "5s", "feed-doubled", 1),
+        ("4500ms", "1s", "feed-moved", 2),
+    ];
+    let faults: String = faults
+        .iter()
+        .map(|(at, length, kind, which)| {
+            format!("[[fault]]\nat = \"{at}\"\nlength = \"{length}\"\nkind = \"{kind}\"\nwhich = {which}\n")
+        })
+        .collect();
+    let plan = format!("seed = 11\n[arrivals]\nshape = \"24/s for 8s\"\n{CLASSES}{faults}");
+    let (outcome, _folder) = rehearse(&plan);
+    clean(&outcome);
+    let summary = summarize(&outcome);
+    eprintln!("{}", summary.text(&outcome));
+    let all = summary.group("all").expect("a group");
+    assert!(all.due > 130 && all.started * 100 >= all.due * 90, "{}", summary.text(&outcome));
+    assert!(outcome.counts.presented > 0, "standing tasks were presented to placers that came back");
+}
+
+#[test]
+fn the_same_faults_with_a_rule_broken_on_purpose_are_found() {
+    // The audit of a real run, with one answer planted that no host gave.
+    let plan = format!("seed = 5\n[arrivals]\nshape = \"8/s for 2s\"\n{CLASSES}");
+    let (outcome, folder) = rehearse(&plan);
+    clean(&outcome);
+    for n in 0..3 {
+        let log = std::fs::read_to_string(folder.path().join(format!("placer-{n}.log"))).expect("a log");
+        assert!(log.contains("serves") && log.contains("closing"), "{log}");
+    }
+    let left = std::process::Command::new("pgrep").args(["-f", &folder.path().to_string_lossy()]).output();
+    assert!(left.is_ok_and(|out| out.stdout.is_empty()), "every process that was started has ended");
+}
+
+#[test]
+fn a_placer_ends_with_the_keeper_that_was_killed() {
+    // The guard becomes a program that would run for ever; its keeper is killed.
+    let guard = env!("CARGO_BIN_EXE_anisehead-load");
+    let script = format!("{guard} guard /usr/bin/yes > /dev/null & echo $!; wait");
+    let mut keeper = std::process::Command::new("sh")
+        .args(["-c", &script])
+        .stdout(std::process::Stdio::piped())
+        .spawn()
+        .expect("a shell");
+    let mut line = String::new();
+    std::io::BufRead::read_line(
+        &mut std::io::BufReader::new(keeper.stdout.take().expect("a pipe")),
+        &mut line,
+    )
+    .expect("a line");
+    let path = PathBuf::from(format!("/proc/{}/comm", line.trim()));
+    standin::until("it runs", || std::fs::read_to_string(&path).ok().filter(|name| name.trim() == "yes"));
+    keeper.kill().expect("a child");
+    keeper.wait().expect("a child");
+    standin::until("it has ended", || (!path.exists()).then_some(()));
+}
+
+/// A placer of the test's own, in a few lines: it answers each set-up after 30 ms, on threads, and counts
+/// with a clock of its own. The generator's figures must agree with it.
+#[test]
+fn what_the_generator_counts_agrees_with_a_peer_that_counts_for_itself() {
+    type Seen = Arc<Mutex<HashMap<u64, (Instant, Instant)>>>;
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let seen: Seen = Arc::default();
+    let told = seen.clone();
+    std::thread::spawn(move || {
+        while let Ok((stream, _)) = listener.accept() {
+            let told = told.clone();
+            std::thread::spawn(move || answer(stream, &told));
+        }
+    });
+    let mut stream = TcpStream::connect(address).expect("it listens");
+    stream.set_nodelay(true).expect("a socket option");
+    let mut sent = HashMap::new();
+    for id in 1..=50 {
+        let offer = Offer { id, service: 1, cores: 1.0, memory: 1.0, priority: 0, life: 1, left: 0 };
+        let description = describe(&offer, id);
+        sent.insert(id, Instant::now());
+        stream.write_all(&bytes(1, id, &[(174, description.as_bytes())])).expect("it reads");
+        let mut inbox = Vec::new();
+        let message = loop {
+            if let Some((message, _)) = Message::read(&inbox) {
+                break message;
+            }
+            let mut chunk = [0; 512];
+            let n = stream.read(&mut chunk).expect("an answer");
+            inbox.extend_from_slice(&chunk[..n]);
+        };
+        assert_eq!((message.kind, message.id, message.text(174)), (9, id, Some("stands")));
+    }
+    for (id, (came, went)) in seen.lock().expect("a lock").iter() {
+        let took = *went - *came;
+        assert!(took >= Duration::from_millis(30) && sent[id] <= *came, "{took:?}");
+    }
+}
+
+fn answer(mut stream: TcpStream, seen: &Mutex<HashMap<u64, (Instant, Instant)>>) {
+    let (mut inbox, mut chunk) = (Vec::new(), [0; 4096]);
+    while let Ok(n) = stream.read(&mut chunk) {
+        if n == 0 {
+            return;
+        }
+        inbox.extend_from_slice(&chunk[..n]);
+        while let Some((message, length)) = Message::read(&inbox) {
+            inbox.drain(..length);
+            let came = Instant::now();
+            std::thread::sleep(Duration::from_millis(30));
+            seen.lock().expect("a lock").insert(message.id, (came, Instant::now()));
+            let _ = stream.write_all(&bytes(9, message.id, &[(174, b"stands")]));
+        }
+    }
+}
--- a/crates/standin/src/audit.rs
+++ b/crates/standin/src/audit.rs
@@ -364,7 +364,9 @@
     fn answers(&mut self, id: u64) {
         let notes = self.of(id);
         let sent = notes.iter().find_map(|(at, note)| match note {
-            Note::Sent { placer, wait, description, at: None, .. } => Some((*at, *placer, *wait, *description)),
+            Note::Sent { placer, wait, description, at: None, .. } => {
+                Some((*at, *placer, *wait, *description))
+            }
             _ => None,
         });
         let Some((at, placer, wait, description)) = sent else { return };
@@ -430,7 +432,8 @@
         let notes = self.of(id);
         let shown = || notes.iter().map(|n| (*n).clone()).collect::<Vec<_>>();
         // Each attempt: its host, when it came, and its end: when, and whether it proves that nothing ran.
-        let mut attempts: Vec<(usize, Micros, Option<(Micros, bool)>)> = Vec::new();
+        type Attempt = (usize, Micros, Option<(Micros, bool)>);
+        let mut attempts: Vec<Attempt> = Vec::new();
         for (at, note) in &notes {
             let (host, ends) = match note {
                 Note::Offered { host, .. } => {
@@ -476,7 +479,9 @@
             match note {
                 Note::Told(_, Told::Placed(_)) => up = up.or(Some(*at)),
                 Note::Sent { at: Some(_), .. } => up = up.or(Some(*at)),
-                Note::Said(_, _, Said::Down(cause)) if up.is_some() && !matches!(cause, 31) => over = over.or(Some(*at)),
+                Note::Said(_, _, Said::Down(cause)) if up.is_some() && !matches!(cause, 31) => {
+                    over = over.or(Some(*at))
+                }
                 _ => {}
             }
         }
@@ -521,7 +526,9 @@
                 Note::Said(id, host, Said::Up(_)) => {
                     open.insert((*id, *host), *at);
                 }
-                Note::Said(id, host, Said::Down(_)) | Note::Stopped(id, host) => close(&mut open, *id, *host, *at),
+                Note::Said(id, host, Said::Down(_)) | Note::Stopped(id, host) => {
+                    close(&mut open, *id, *host, *at)
+                }
                 Note::Died(host) => {
                     let gone: Vec<u64> = open.keys().filter(|(_, h)| h == host).map(|(id, _)| *id).collect();
                     gone.into_iter().for_each(|id| close(&mut open, id, *host, *at));
@@ -584,13 +591,13 @@
         let room = |host: usize| self.rules.rooms.get(host).copied().unwrap_or(0);
         for (at, note) in self.notes {
             match note {
-                Note::Sent { id, placer, class, service, at: Some(host), .. } => {
-                    if self.rules.classes.get(*class).is_some_and(|(_, most)| most.is_some()) {
-                        let life = self.lives.get(placer).map_or(0, |lives| lives.number(*at));
-                        let place = (*placer, life, *service, room(*host));
-                        held.entry(place).or_default().insert(*id, *at + 200 * MS);
-                        where_is.entry(*id).or_default().push(place);
-                    }
+                Note::Sent { id, placer, class, service, at: Some(host), .. }
+                    if self.rules.classes.get(*class).is_some_and(|(_, most)| most.is_some()) =>
+                {
+                    let life = self.lives.get(placer).map_or(0, |lives| lives.number(*at));
+                    let place = (*placer, life, *service, room(*host));
+                    held.entry(place).or_default().insert(*id, *at + 200 * MS);
+                    where_is.entry(*id).or_default().push(place);
                 }
                 Note::Offered { id, host, .. } => {
                     let Some((_, placer, class, service)) = self.sent(*id) else { continue };
@@ -598,7 +605,8 @@
                     let life = self.lives.get(&placer).map_or(0, |lives| lives.number(*at));
                     let place = (placer, life, service, room(*host));
                     let there = held.entry(place).or_default();
-                    let before = there.iter().filter(|(other, since)| **other != *id && **since <= *at).count();
+                    let before =
+                        there.iter().filter(|(other, since)| **other != *id && **since <= *at).count();
                     if before >= *most as usize {
                         over.push((*id, *at, note.clone(), there.keys().copied().collect::<Vec<_>>()));
                     }
@@ -621,7 +629,9 @@
         for (id, at, note, others) in over {
             let mut shown: Vec<(Micros, Note)> = others
                 .iter()
-                .filter_map(|other| self.of(*other).into_iter().find(|(_, n)| matches!(n, Note::Offered { .. })))
+                .filter_map(|other| {
+                    self.of(*other).into_iter().find(|(_, n)| matches!(n, Note::Offered { .. }))
+                })
                 .cloned()
                 .collect();
             shown.push((at, note));
@@ -707,56 +717,106 @@
         let late = 40 * SECOND;
         let cases: Vec<(Rule, Vec<(Micros, Note)>)> = vec![
             (Rule::NoAnswer, planted(|n| *n == Note::Told(9, Told::Released(42)), vec![])),
-            (Rule::NoAnswer, planted(|n| *n == Note::Told(9, Told::Released(42)), vec![(8 * SECOND, Note::GaveUp(9))])),
-            (Rule::LateAnswer, planted(|n| *n == Note::Told(9, Told::Released(42)), vec![(1_800 * MS + 6_060 * MS, Note::Told(9, Told::Released(42)))])),
+            (
+                Rule::NoAnswer,
+                planted(|n| *n == Note::Told(9, Told::Released(42)), vec![(8 * SECOND, Note::GaveUp(9))]),
+            ),
+            (
+                Rule::LateAnswer,
+                planted(
+                    |n| *n == Note::Told(9, Told::Released(42)),
+                    vec![(1_800 * MS + 6_060 * MS, Note::Told(9, Told::Released(42)))],
+                ),
+            ),
             (Rule::SecondAnswer, planted(none, vec![(3 * SECOND, Note::Told(9, Told::Released(42)))])),
             (Rule::SecondAnswer, planted(none, vec![(3 * SECOND, Note::Told(ID, Told::Placed(22)))])),
             (
                 Rule::Invented,
                 planted(none, vec![(late, sent(20, 0, 20)), (late + MS, Note::Told(20, Told::Placed(1)))]),
             ),
-            (Rule::Changed, planted(|n| *n == offered(8, 1), vec![(1_200 * MS, Note::Offered { id: 8, host: 1, description: 12 })])),
-            (Rule::Changed, planted(|n| *n == Note::Told(8, Told::Placed(23)), vec![(1_400 * MS, Note::Told(8, Told::Placed(24)))])),
+            (
+                Rule::Changed,
+                planted(
+                    |n| *n == offered(8, 1),
+                    vec![(1_200 * MS, Note::Offered { id: 8, host: 1, description: 12 })],
+                ),
+            ),
+            (
+                Rule::Changed,
+                planted(
+                    |n| *n == Note::Told(8, Told::Placed(23)),
+                    vec![(1_400 * MS, Note::Told(8, Told::Placed(24)))],
+                ),
+            ),
             // A reset may have run: no second attempt of a task that must not start twice.
-            (Rule::SentAgain, planted(|n| *n == Note::Said(ID, 0, Said::Down(34)), vec![(300 * MS, Note::Said(ID, 0, Said::Down(41)))])),
-            (Rule::SentAgain, planted(|n| *n == Note::Said(ID, 0, Said::Down(34)), vec![(300 * MS, Note::Closed(ID, 0))])),
+            (
+                Rule::SentAgain,
+                planted(
+                    |n| *n == Note::Said(ID, 0, Said::Down(34)),
+                    vec![(300 * MS, Note::Said(ID, 0, Said::Down(41)))],
+                ),
+            ),
+            (
+                Rule::SentAgain,
+                planted(|n| *n == Note::Said(ID, 0, Said::Down(34)), vec![(300 * MS, Note::Closed(ID, 0))]),
+            ),
             (
                 Rule::RanTwice,
-                planted(none, vec![
-                    (550 * MS, sent(30, 1, 1)),
-                    (560 * MS, offered(30, 2)),
-                    (570 * MS, Note::Said(30, 2, Said::Up(9))),
-                    (580 * MS, Note::Told(30, Told::Placed(9))),
-                    (5 * SECOND, Note::Said(30, 2, Said::Down(16))),
-                    (5 * SECOND + MS, Note::Told(30, Told::Released(16))),
-                ]),
+                planted(
+                    none,
+                    vec![
+                        (550 * MS, sent(30, 1, 1)),
+                        (560 * MS, offered(30, 2)),
+                        (570 * MS, Note::Said(30, 2, Said::Up(9))),
+                        (580 * MS, Note::Told(30, Told::Placed(9))),
+                        (5 * SECOND, Note::Said(30, 2, Said::Down(16))),
+                        (5 * SECOND + MS, Note::Told(30, Told::Released(16))),
+                    ],
+                ),
+            ),
+            (
+                Rule::TwoAtOnce,
+                planted(|n| *n == Note::Stopped(8, 2), vec![(1_300 * MS, Note::Stopped(8, 2))]),
             ),
-            (Rule::TwoAtOnce, planted(|n| *n == Note::Stopped(8, 2), vec![(1_300 * MS, Note::Stopped(8, 2))])),
             (Rule::TwoAtOnce, planted(|n| *n == Note::Stopped(8, 2), vec![])),
             (
                 Rule::Drain,
-                planted(none, vec![
-                    (late, sent(40, 0, 40)),
-                    (late, offered(40, 0)),
-                    (late + MS, Note::Said(40, 0, Said::Down(34))),
-                    (late + 2 * MS, Note::Told(40, Told::Released(42))),
-                ]),
+                planted(
+                    none,
+                    vec![
+                        (late, sent(40, 0, 40)),
+                        (late, offered(40, 0)),
+                        (late + MS, Note::Said(40, 0, Said::Down(34))),
+                        (late + 2 * MS, Note::Told(40, Told::Released(42))),
+                    ],
+                ),
             ),
             (
                 Rule::Spread,
-                planted(none, (50..53).flat_map(|id| {
-                    let at = late + (id as Micros - 50) * 10 * MS;
-                    [
-                        (at, sent(id, 0, id)),
-                        (at + MS, offered(id, 1)),
-                        (at + 2 * MS, Note::Said(id, 1, Said::Up(1))),
-                        (at + 3 * MS, Note::Told(id, Told::Placed(1))),
-                    ]
-                }).collect()),
+                planted(
+                    none,
+                    (50..53)
+                        .flat_map(|id| {
+                            let at = late + (id as Micros - 50) * 10 * MS;
+                            [
+                                (at, sent(id, 0, id)),
+                                (at + MS, offered(id, 1)),
+                                (at + 2 * MS, Note::Said(id, 1, Said::Up(1))),
+                                (at + 3 * MS, Note::Told(id, Told::Placed(1))),
+                            ]
+                        })
+                        .collect(),
+                ),
             ),
             (Rule::PushedOver, planted(none, vec![(late, Note::Fell(1))])),
             (Rule::EndUntold, planted(|n| *n == Note::Told(8, Told::Released(41)), vec![])),
-            (Rule::EndUntold, planted(|n| *n == Note::Told(8, Told::Released(41)), vec![(5 * SECOND, Note::Told(8, Told::Released(41)))])),
+            (
+                Rule::EndUntold,
+                planted(
+                    |n| *n == Note::Told(8, Told::Released(41)),
+                    vec![(5 * SECOND, Note::Told(8, Told::Released(41)))],
+                ),
+            ),
             (Rule::Crash, planted(none, vec![(50 * SECOND, Note::Placer(0, Life::Ended(101)))])),
         ];
         for (rule, notes) in &cases {
@@ -771,21 +831,42 @@
         let untold = |n: &Note| *n == Note::Told(9, Told::Released(42));
         for (why, notes) in [
             ("killed", planted(untold, vec![(1_850 * MS, Note::Placer(0, Life::Killed))])),
-            ("stopped", planted(untold, vec![(1_850 * MS, Note::Placer(0, Life::Stopped)), (9 * SECOND, Note::Placer(0, Life::Went))])),
+            (
+                "stopped",
+                planted(
+                    untold,
+                    vec![
+                        (1_850 * MS, Note::Placer(0, Life::Stopped)),
+                        (9 * SECOND, Note::Placer(0, Life::Went)),
+                    ],
+                ),
+            ),
             ("its connection broke", planted(untold, vec![(2 * SECOND, Note::Broken(9))])),
             ("its owner gave up early", planted(untold, vec![(2 * SECOND, Note::GaveUp(9))])),
-            ("told to end", planted(|_| false, vec![(50 * SECOND, Note::Placer(0, Life::Told)), (51 * SECOND, Note::Placer(0, Life::Ended(0)))])),
+            (
+                "told to end",
+                planted(
+                    |_| false,
+                    vec![
+                        (50 * SECOND, Note::Placer(0, Life::Told)),
+                        (51 * SECOND, Note::Placer(0, Life::Ended(0))),
+                    ],
+                ),
+            ),
             ("told again", planted(|_| false, vec![(3 * SECOND, Note::Told(8, Told::Released(41)))])),
         ] {
             assert_eq!(check(&notes, &rules(), 60 * SECOND), [], "{why}");
         }
         // A task that must not start twice may start again once the first is gone.
-        let again = planted(|_| false, vec![
-            (late(0), sent(60, 1, 1)),
-            (late(1), offered(60, 2)),
-            (late(2), Note::Said(60, 2, Said::Up(1))),
-            (late(3), Note::Told(60, Told::Placed(1))),
-        ]);
+        let again = planted(
+            |_| false,
+            vec![
+                (late(0), sent(60, 1, 1)),
+                (late(1), offered(60, 2)),
+                (late(2), Note::Said(60, 2, Said::Up(1))),
+                (late(3), Note::Told(60, Told::Placed(1))),
+            ],
+        );
         assert_eq!(check(&again, &rules(), 60 * SECOND), []);
     }
 
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -10,10 +10,13 @@
 mod feed;
 pub mod front;
 mod host;
+pub mod keeper;
 pub mod live;
 pub mod machine;
+pub mod notes;
 mod owner;
 mod program;
+pub mod site;
 
 pub use config::{config, deployment};
 pub use feed::{Feed, event};
--- a/crates/standin/src/machine.rs
+++ b/crates/standin/src/machine.rs
@@ -239,10 +239,14 @@
 
     /// Sends away the lowest priorities, the youngest first, as a machine short of memory does.
     pub fn evict(&mut self, count: usize) -> Vec<(u64, Word)> {
-        let mut order: Vec<(u8, u64)> = self.running.iter().map(|(id, held)| (held.offer.priority, *id)).collect();
+        let mut order: Vec<(u8, u64)> =
+            self.running.iter().map(|(id, held)| (held.offer.priority, *id)).collect();
         order.sort_by_key(|(priority, id)| (*priority, std::cmp::Reverse(*id)));
         let gone: Vec<u64> = order.into_iter().take(count).map(|(_, id)| id).collect();
-        gone.into_iter().filter(|id| self.stop(*id) == Cut::Running).map(|id| (id, Word::Down(41, "ev"))).collect()
+        gone.into_iter()
+            .filter(|id| self.stop(*id) == Cut::Running)
+            .map(|id| (id, Word::Down(41, "ev")))
+            .collect()
     }
 
     /// When something is due next.
@@ -482,7 +486,8 @@
         machine.offer(SECOND, Offer { priority: 1, cores: 2.0, ..offer(9) });
         machine.tick(SECOND);
         let said = run(&mut machine, 2 * SECOND);
-        let out: Vec<u64> = said.iter().filter(|(_, _, w)| *w == Word::Down(41, "pre")).map(|(_, id, _)| *id).collect();
+        let out: Vec<u64> =
+            said.iter().filter(|(_, _, w)| *w == Word::Down(41, "pre")).map(|(_, id, _)| *id).collect();
         assert_eq!(out, [2, 4]);
         assert!(said.iter().any(|(_, id, word)| (*id, *word) == (9, Word::Up)));
         let mut machine = full();
@@ -505,8 +510,10 @@
         machine.tick(SECOND);
         let said = run(&mut machine, 10 * SECOND);
         let expected = [(1_010, 9, "nh"), (1_500, 1, "dr"), (2_000, 2, "dr"), (2_500, 3, "dr")];
-        let found: Vec<(Micros, u64, &str)> =
-            said.iter().map(|(at, id, w)| (*at, *id, if let Word::Down(_, note) = w { *note } else { "" })).collect();
+        let found: Vec<(Micros, u64, &str)> = said
+            .iter()
+            .map(|(at, id, w)| (*at, *id, if let Word::Down(_, note) = w { *note } else { "" }))
+            .collect();
         assert_eq!(found, expected);
     }
 
@@ -533,7 +540,10 @@
             machine.offer(0, Offer { priority: id as u8, life: 100 * SECOND, ..offer(id) });
             machine.tick(0);
         }
-        assert_eq!((machine.stop(1), machine.stop(3), machine.stop(7)), (Cut::Before, Cut::Before, Cut::Unknown));
+        assert_eq!(
+            (machine.stop(1), machine.stop(3), machine.stop(7)),
+            (Cut::Before, Cut::Before, Cut::Unknown)
+        );
         machine.tick(0);
         run(&mut machine, SECOND);
         assert_eq!(machine.running().collect::<Vec<_>>(), [2]);
--- a/crates/standin/src/owner.rs
+++ b/crates/standin/src/owner.rs
@@ -17,6 +17,25 @@
 }
 
 impl Message {
+    /// Reads the first message of `bytes`: itself and its length, or none if more must come or none is there.
+    pub fn read(bytes: &[u8]) -> Option<(Message, usize)> {
+        let (length, rest) = bytes.split_first_chunk::<2>()?;
+        let length = usize::from(u16::from_be_bytes(*length));
+        Some((Message::read_body(rest.get(..length)?)?, length + 2))
+    }
+
+    fn read_body(body: &[u8]) -> Option<Message> {
+        let (kind, rest) = body.split_first()?;
+        let (id, mut rest) = rest.split_first_chunk::<8>()?;
+        let mut parameters = Vec::new();
+        while let [code, a, b, after @ ..] = rest {
+            let (value, after) = after.split_at_checked(usize::from(u16::from_be_bytes([*a, *b])))?;
+            parameters.push((*code, value.to_vec()));
+            rest = after;
+        }
+        Some(Message { kind: *kind, id: u64::from_be_bytes(*id), parameters })
+    }
+
     /// A parameter.
     pub fn get(&self, code: u8) -> Option<&[u8]> {
         self.parameters.iter().find(|(c, _)| *c == code).map(|(_, value)| value.as_slice())
@@ -128,15 +147,7 @@
         }
         let mut body = vec![0; usize::from(u16::from_be_bytes(length))];
         self.0.read_exact(&mut body)?;
-        let (kind, id) = (body[0], u64::from_be_bytes(body[1..9].try_into().expect("8 bytes")));
-        let mut parameters = Vec::new();
-        let mut rest = &body[9..];
-        while let [code, a, b, after @ ..] = rest {
-            let (value, after) = after.split_at(usize::from(u16::from_be_bytes([*a, *b])));
-            parameters.push((*code, value.to_vec()));
-            rest = after;
-        }
-        Ok(Some(Message { kind, id, parameters }))
+        Ok(Message::read_body(&body))
     }
 
     /// The next message, none where the connection ends, an error where none begins in time.
--- a/crates/standin/src/program.rs
+++ b/crates/standin/src/program.rs
@@ -92,7 +92,17 @@
 
     /// Runs it to its end.
     pub fn output(self) -> Output {
-        let output = self.command().output().expect("the program starts");
+        let pipes = self.command().stdout(Stdio::piped()).stderr(Stdio::piped()).spawn();
+        let mut child = pipes.expect("the program starts");
+        let end = Instant::now() + LIMIT;
+        // One that does not end is a failure of its own, and must not hold the test up.
+        while child.try_wait().expect("a child").is_none() {
+            if Instant::now() > end {
+                let _ = child.kill();
+            }
+            std::thread::sleep(Duration::from_millis(5));
+        }
+        let output = child.wait_with_output().expect("its output");
         self.files.iter().for_each(|file| drop(std::fs::remove_file(file)));
         output
     }
--- a/src/health/mod.rs
+++ b/src/health/mod.rs
@@ -156,8 +156,7 @@
 /// Gauges that are read a few times a second.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Gauges {
-    /// Age of the oldest ask in hand over the aim of its class; of those that no host has refused for want
-    /// of room.
+    /// Age of the oldest ask in hand over the aim of its class.
     pub oldest: f64,
     /// The listed hosts by zone.
     pub zones: Vec<Zone>,
--- a/src/net/dispatch.rs
+++ b/src/net/dispatch.rs
@@ -53,6 +53,8 @@
 const UNLISTED: Micros = 2_000 * MILLI;
 /// How long the end of a task is remembered.
 const ENDED: Micros = 10_000 * MILLI;
+/// An answer may be on its way to its owner for so long.
+const ORDERED: Micros = 2_000 * MILLI;
 /// How long a host's word that it is full counts.
 const FULL: Micros = 15_000 * MILLI;
 /// The part of the memory that queues may fill.
@@ -113,8 +115,6 @@
     /// When it came, and the aim of its class.
     since: Micros,
     aim: Micros,
-    /// A host has refused it for want of room: it waits for room.
-    met_full: bool,
     /// Where it was set up or named, once it stands.
     home: Option<OwnerId>,
 }
@@ -334,7 +334,7 @@
             let request = self.remove(ticket)?;
             if let Some(owner) = request.owner {
                 self.owners.send(now, owner, &word(request.id));
-                self.owners.count(owner, false);
+                self.owners.settled(owner, ticket);
             }
         }
         news
@@ -356,13 +356,22 @@
     /// MOVE: the task ends, also at its host, and its owner comes again.
     fn move_away(&mut self, now: Micros, ticket: Ticket) {
         let Some(request) = self.requests.get(&ticket) else { return };
-        if matches!(request.state, State::Standing { .. }) {
-            let word = binary::moved(request.id);
-            self.owners.send_any(now, request.id, word);
+        if let State::Standing { since, .. } = request.state {
+            let (id, home) = (request.id, request.home);
+            self.tell_end(now, id, home, since, binary::moved(id));
             self.leave(now, ticket, cause::CANCELLED);
         }
     }
 
+    /// Tells that a task which stood since then is over, or moves: in order with its answer, where that went
+    /// out only just now.
+    fn tell_end(&mut self, now: Micros, id: TaskId, home: Option<OwnerId>, since: Micros, word: Vec<u8>) {
+        match home {
+            Some(owner) if now - since < ORDERED => self.owners.send_after(now, owner, id, word),
+            _ => self.owners.send_any(now, id, word),
+        }
+    }
+
     /// Releases a task that stands at its host, on any connection, or on the next to open.
     fn leave(&mut self, now: Micros, ticket: Ticket, cause: u8) {
         let Some(request) = self.requests.get_mut(&ticket) else { return };
@@ -399,7 +408,8 @@
         let Some(request) = self.remove(ticket) else { return };
         let (attempt, host, since, outcome) = match request.state {
             State::Standing { attempt, host, since } => {
-                self.owners.send_any(now, request.id, binary::release(request.id, cause, None));
+                let word = binary::release(request.id, cause, None);
+                self.tell_end(now, request.id, request.home, since, word);
                 let outcome = match cause {
                     cause::NORMAL => Outcome::Ok,
                     cause::CANCELLED => Outcome::Cancelled,
@@ -424,9 +434,7 @@
     /// It has ended, and with it the set-ups that are open on it.
     pub fn owner_ended(&mut self, owner: OwnerId, end: End) {
         let now = self.clock.now();
-        self.owners.ended(now, owner);
-        let theirs = self.requests.iter().filter(|(_, r)| r.owner == Some(owner));
-        let open: Vec<Ticket> = theirs.filter(|(_, r)| r.owes()).map(|(ticket, _)| *ticket).collect();
+        let open = self.owners.ended(now, owner);
         info!(peer = "owner", connection = %owner, reason = %end, open = open.len(), "connection ended");
         for ticket in open {
             self.gone(now, ticket);
@@ -437,7 +445,7 @@
     fn gone(&mut self, now: Micros, ticket: Ticket) {
         let news = self.give_up(now, ticket, None, Outcome::Cancelled);
         if let Some(owner) = self.remove(ticket).and_then(|r| r.owner) {
-            self.owners.count(owner, false);
+            self.owners.settled(owner, ticket);
         }
         self.tell(now, News::GivenUp(ticket));
         if let Some(news) = news {
@@ -497,17 +505,7 @@
         self.by_id.insert(id, ticket);
         let aim = self.facade.aim(class).unwrap_or(MILLI).max(MILLI);
         let owner = Some(owner);
-        let request = Request {
-            id,
-            owner,
-            set_up: None,
-            attempts: 0,
-            state,
-            since: now,
-            aim,
-            met_full: false,
-            home: None,
-        };
+        let request = Request { id, owner, set_up: None, attempts: 0, state, since: now, aim, home: None };
         self.requests.insert(ticket, request);
         ticket
     }
@@ -530,7 +528,7 @@
             return self.owners.send(now, owner, &binary::release(id, cause::FAILED, None));
         }
         let ticket = self.take(now, id, owner, &ask.class, State::Held);
-        self.owners.count(owner, true);
+        self.owners.waits(owner, ticket);
         if let Some(request) = self.requests.get_mut(&ticket) {
             request.set_up = Some(set_up);
         }
@@ -555,9 +553,9 @@
             return self.owners.stop(owner, End::IdInUse);
         }
         if let Some(before) = request.owner.replace(owner) {
-            self.owners.count(before, false);
+            self.owners.settled(before, ticket);
         }
-        self.owners.count(owner, true);
+        self.owners.waits(owner, ticket);
         let id = request.id;
         info!(task = %id, "set up twice");
     }
@@ -612,15 +610,19 @@
         let now = self.clock.now();
         self.watch(now, Event::Feed);
         let entries = self.update_hosts(now, whole, hosts);
+        // Of the others nothing is news.
+        let named: Vec<HostId> = if whole {
+            self.hosts.keys().cloned().collect()
+        } else {
+            entries.iter().map(|entry| entry.host.clone()).collect()
+        };
         self.tell(now, News::Listed { whole, entries });
-        let lost: Vec<(HostId, Micros)> = self
-            .hosts
-            .iter()
-            .filter(|(_, link)| link.state == HostState::Gone || link.born > 0)
-            .map(|(host, link)| {
-                (host.clone(), if link.state == HostState::Gone { Micros::MAX } else { link.born })
-            })
-            .collect();
+        let over = |host: HostId| {
+            let link = self.hosts.get(&host)?;
+            let gone = link.state == HostState::Gone;
+            (gone || link.born > 0).then_some((host, if gone { Micros::MAX } else { link.born }))
+        };
+        let lost: Vec<(HostId, Micros)> = named.into_iter().filter_map(over).collect();
         for (host, before) in lost {
             self.lose(now, &host, before);
         }
@@ -828,7 +830,7 @@
                     (elapsed as f64 / request.aim as f64, now - request.since <= request.aim);
                 if let Some(owner) = request.owner.take() {
                     self.owners.send(now, owner, &binary::answer(id, &description));
-                    self.owners.count(owner, false);
+                    self.owners.settled(owner, ticket);
                     self.owners.prove(owner);
                     self.stands_for(ticket, owner);
                 }
@@ -857,7 +859,6 @@
                     _ => Outcome::Reset,
                 };
                 if outcome == Outcome::Full && detail != Detail::NotHere {
-                    request.met_full = true;
                     self.hosts.get_mut(host).into_iter().for_each(|link| link.full_at = Some(now));
                 }
                 let news = self.end_attempt(now, ticket, outcome, detail);
@@ -990,9 +991,7 @@
             roomy += u32::from(fits);
             full += u32::from(link.full_at.is_some_and(|at| now - at < FULL));
         }
-        // What waits for room waits for the hosts.
-        let waits = |r: &&Request| r.owes() && !r.met_full;
-        let ages = self.requests.values().filter(waits).map(|r| (now - r.since) as f64 / r.aim as f64);
+        let ages = self.requests.values().filter(|r| r.owes()).map(|r| (now - r.since) as f64 / r.aim as f64);
         let gauges = Gauges {
             oldest: ages.fold(0.0, f64::max),
             zones: zones.into_values().collect(),
--- a/src/net/owners.rs
+++ b/src/net/owners.rs
@@ -4,10 +4,11 @@
 use super::conn::{Conn, End};
 use super::dispatch::Shared;
 use anisehead::Micros;
+use anisehead::facade::Ticket;
 use anisehead::health::Event;
 use async_io::{Async, Timer};
 use futures_lite::future;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::TcpListener;
 use std::rc::Rc;
 use std::time::Duration;
@@ -46,7 +47,7 @@
 struct Owner {
     conn: Rc<Conn>,
     /// Set-ups on it that wait for their answer.
-    open: usize,
+    open: BTreeSet<Ticket>,
     heard: Micros,
     /// Since when a whole message is awaited: from the start, or since half of one came.
     half_since: Option<Micros>,
@@ -122,23 +123,27 @@
         let id = OwnerId(self.next);
         self.next += 1;
         let (half_since, spoken, proven) = (Some(now), false, false);
-        self.all.insert(id, Owner { conn, open: 0, heard: now, half_since, spoken, proven, stand: 0 });
+        self.all.insert(
+            id,
+            Owner { conn, open: BTreeSet::new(), heard: now, half_since, spoken, proven, stand: 0 },
+        );
         for (task, bytes) in std::mem::take(&mut self.unsent) {
             self.send_any(now, task, bytes);
         }
         id
     }
 
-    /// Forgets a connection that has ended. Guards against the end of a task that was written to it and
+    /// Forgets a connection that has ended, and tells which set-ups wait on it. Guards against the end of a task that was written to it and
     /// not heard: it is told again on another.
-    pub fn ended(&mut self, now: Micros, id: OwnerId) {
-        self.all.remove(&id);
+    pub fn ended(&mut self, now: Micros, id: OwnerId) -> BTreeSet<Ticket> {
+        let open = self.all.remove(&id).map(|owner| owner.open).unwrap_or_default();
         let unheard: Vec<TaskId> = self.told.iter().filter(|(_, t)| t.owner == id).map(|(k, _)| *k).collect();
         for task in unheard {
             if let Some(told) = self.told.remove(&task) {
                 self.send_any(now, task, told.bytes);
             }
         }
+        open
     }
 
     /// Whole messages came in on it, and whether half of another did.
@@ -166,10 +171,17 @@
         }
     }
 
-    /// A set-up on it waits for its answer, or no longer does.
-    pub fn count(&mut self, id: OwnerId, waits: bool) {
+    /// A set-up on it waits for its answer.
+    pub fn waits(&mut self, id: OwnerId, ticket: Ticket) {
         if let Some(owner) = self.all.get_mut(&id) {
-            owner.open = if waits { owner.open + 1 } else { owner.open.saturating_sub(1) };
+            owner.open.insert(ticket);
+        }
+    }
+
+    /// A set-up on it no longer waits.
+    pub fn settled(&mut self, id: OwnerId, ticket: Ticket) {
+        if let Some(owner) = self.all.get_mut(&id) {
+            owner.open.remove(&ticket);
         }
     }
 
@@ -187,13 +199,25 @@
         }
     }
 
+    /// Writes what concerns a task whose answer went out on this connection just now. Guards against a word on
+    /// another connection that its owner reads before the answer: it would be taken for the answer, and the
+    /// answer for a second one. Where the connection has ended the answer is on its way or lost already.
+    pub fn send_after(&mut self, now: Micros, id: OwnerId, task: TaskId, bytes: Vec<u8>) {
+        let live = self.all.get(&id).filter(|owner| !owner.conn.stopping());
+        if live.is_some_and(|owner| owner.conn.send(now, &bytes)) {
+            self.told.insert(task, Told { owner: id, bytes, since: now });
+        } else {
+            self.send_any(now, task, bytes);
+        }
+    }
+
     /// Writes what concerns a task that stood. It belongs to no connection: of those that have had tasks
     /// placed, the one heard last is the least likely to be closing under our hands, or to be no owner at
     /// all. With none open the next to open is told.
     pub fn send_any(&mut self, now: Micros, task: TaskId, bytes: Vec<u8>) {
         loop {
             let live = self.all.iter().filter(|(_, o)| !o.conn.stopping() && (o.spoken || o.heard == now));
-            match live.max_by_key(|(_, o)| (o.proven, o.open > 0, o.heard)) {
+            match live.max_by_key(|(_, o)| (o.proven, !o.open.is_empty(), o.heard)) {
                 None => return self.unsent.push((task, bytes)),
                 Some((id, owner)) if owner.conn.send(now, &bytes) => {
                     self.told.insert(task, Told { owner: *id, bytes, since: now });
@@ -209,15 +233,15 @@
     pub fn sweep(&mut self, now: Micros) {
         for owner in self.all.values() {
             owner.conn.end_if_stuck(now, STUCK);
-            if owner.open == 0 && now - owner.heard > IDLE {
+            if owner.open.is_empty() && now - owner.heard > IDLE {
                 owner.conn.stop(End::Idle);
             }
-            if owner.open == 0 && owner.half_since.is_some_and(|since| now - since > UNSPOKEN) {
+            if owner.open.is_empty() && owner.half_since.is_some_and(|since| now - since > UNSPOKEN) {
                 owner.conn.stop(End::Unspoken);
             }
             // Neither an answer nor the end of a task is owed on it. One that has just come may have a
             // set-up on its way.
-            if self.close_idle && owner.open == 0 && owner.stand == 0 && now - owner.heard > YOUNG {
+            if self.close_idle && owner.open.is_empty() && owner.stand == 0 && now - owner.heard > YOUNG {
                 owner.conn.stop(End::Draining);
             }
         }
@@ -227,7 +251,7 @@
     /// Makes room for another connection: one that has said nothing goes before the longest idle one;
     /// none with an open set-up does. False where there is none to close.
     fn shed(&self, now: Micros) -> bool {
-        let idle = self.all.values().filter(|o| o.open == 0 && !o.conn.stopping());
+        let idle = self.all.values().filter(|o| o.open.is_empty() && !o.conn.stopping());
         let first = idle.min_by_key(|o| (o.spoken || now - o.heard < YOUNG, o.proven, o.heard));
         first.map(|owner| owner.conn.stop(End::Crowded)).is_some()
     }
--- a/tests/placer.rs
+++ b/tests/placer.rs
@@ -93,6 +93,32 @@
     assert_eq!(conns[0].expect("down").get_str("ref"), Some(hex(2).as_str()));
 }
 
+// Found in rehearsals: a host's answer and release were read at once, and the release went out on another
+// connection, where its owner read it before the answer.
+#[test]
+fn the_end_of_a_task_is_told_after_its_answer_on_the_same_connection() {
+    let (program, _feed, _hosts, mut conns) = start(1);
+    let (mut first, mut other) = (program.owner(), program.owner());
+    for (id, owner) in [(1, &mut other), (2, &mut first)] {
+        owner.set_up(id, &QUICK);
+        conns[0].offer();
+        // The other has had a task placed, and is heard last.
+        if id == 1 {
+            conns[0].up(&hex(1));
+            assert_eq!(owner.read().kind, 9);
+        }
+    }
+    assert!(other.test());
+    let (up, down) = (hex(2), hex(2));
+    let lines = format!(
+        "{{\"t\":\"up\",\"ref\":\"{up}\",\"f\":{{}},\"d\":\"stands\"}}\n{{\"t\":\"down\",\"ref\":\"{down}\",\"f\":{{}},\"c\":16}}\n"
+    );
+    conns[0].raw(lines.as_bytes());
+    let words = [first.read(), first.read()].map(|message| (message.kind, message.id));
+    assert_eq!(words, [(9, 2), (12, 2)]);
+    assert!(other.test(), "nothing of it went there");
+}
+
 // Found on fleet days: such a task was offered to every host in turn, and each was held for broken.
 #[test]
 fn a_task_whose_time_is_over_is_not_offered_again() {
