--- /dev/null
+++ b/crates/load/tests/plans.rs
@@ -0,0 +1,14 @@
+//! The plans that come with the project are good plans.
+
+#[test]
+fn every_plan_of_the_project_can_be_meant() {
+    let folder = concat!(env!("CARGO_MANIFEST_DIR"), "/../../plans");
+    let mut count = 0;
+    for entry in std::fs::read_dir(folder).expect("the plans") {
+        let path = entry.expect("a file").path();
+        let plan = load::plan::Plan::load(&path).unwrap_or_else(|e| panic!("{e}"));
+        assert!(plan.shape().length() > 0);
+        count += 1;
+    }
+    assert!(count >= 5);
+}
--- a/crates/load/tests/rehearsal.rs
+++ b/crates/load/tests/rehearsal.rs
@@ -277,3 +277,41 @@
         }
     }
 }
+
+#[test]
+fn owners_that_go_by_agents_lose_nothing_when_a_placer_drains() {
+    let plan = format!(
+        "seed = 4
+[placers]
+operator = \"\"\"
+[health]
+agent = [\"{{agent}}\"]
+[health.weight]
+slow-start = \"500ms\"
+rise = \"1s\"
+[drain]
+enabled = true
+\"\"\"
+[arrivals]
+shape = \"16/s for 6s\"
+{}
+[[fault]]
+at = \"1500ms\"
+length = \"1s\"
+kind = \"placer-restart\"
+which = 1
+",
+        CLASSES.replace("[owners]", "[owners]\nspread = \"agent\"")
+    );
+    let (outcome, folder) = rehearse(&plan);
+    clean(&outcome);
+    let log = std::fs::read_to_string(folder.path().join("placer-1.log")).expect("a log");
+    assert!(log.contains("phase=\"drained\"") && log.matches("serves").count() == 2, "{log}");
+    // A drain breaks nothing, so nobody had to come again for it.
+    assert!(
+        outcome.tasks.iter().all(|task| task.started.is_some()),
+        "{}",
+        summarize(&outcome).text(&outcome)
+    );
+    assert_eq!(outcome.counts.wasted, 0, "{:?}", outcome.counts);
+}
