--- a/tests/balancers.rs
+++ b/tests/balancers.rs
@@ -152,7 +152,7 @@
 
 #[test]
 fn at_sigterm_balancers_are_told_no_task_is_lost_and_every_standing_tasks_end_is_told() {
-    let mut site = Site::start(&Habits { life: MS(2_500), ..habits() });
+    let mut site = Site::start(&Habits { life: MS(5_000), ..habits() });
     let clients = Clients::start(&site.front, 8.0, 1);
     std::thread::sleep(Duration::from_secs(3));
     let signalled = Instant::now();
