Owners keep their third of the descriptors whatever the fleet; none is closed unread

No id of a lost request is in any log: they were never read. Ruled out: the process out of descriptors (no 'accept failed', 553 held of 784), queues ('queue-full' and 'stalled' do not occur), 'id-in-use' and 'malformed' (do not occur).

Cause: Owners::budget took 24 + 3 x 400 off 784 descriptors, nothing was left, and owners got the floor of 4, though they may hold a third. 'accept' then closed each connection beyond it with its set-up unread.

Change: descriptors::Shares (no I/O) promises owners a third of the descriptors and gives hosts the rest up to their need. A connection beyond the budget waits in the accept queue for the first that is answered. Idle ones that make room are those with nothing to read.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -29,6 +29,7 @@
 //! ```
 #![forbid(unsafe_code)]
 
+pub mod descriptors;
 pub mod facade;
 pub mod health;
 mod interface;
--- a/src/net/conn.rs
+++ b/src/net/conn.rs
@@ -181,6 +181,12 @@
         self.end.get().is_some()
     }
 
+    /// Whether nothing waits to be read. Guards a set-up that has come in and was not read yet against a
+    /// close of what looks idle.
+    pub fn quiet(&self) -> bool {
+        !matches!(self.stream.get_ref().peek(&mut [0]), Ok(1..))
+    }
+
     /// Whether all that was sent has been handed to the system.
     pub fn flushed(&self) -> bool {
         self.queue.borrow().is_empty() || self.stopping()
--- a/src/net/dispatch.rs
+++ b/src/net/dispatch.rs
@@ -425,6 +425,11 @@
 
     // ---- Owners ----
 
+    /// Whether another connection of an owner is beyond the budget.
+    pub fn owner_crowds(&self) -> bool {
+        self.owners.crowded(self.hosts_in_use())
+    }
+
     /// A connection from an owner is there.
     pub fn owner_opened(&mut self, conn: Rc<Conn>) -> OwnerId {
         let now = self.clock.now();
--- a/src/net/owners.rs
+++ b/src/net/owners.rs
@@ -4,11 +4,13 @@
 use super::conn::{Conn, End};
 use super::dispatch::Shared;
 use anisehead::Micros;
+use anisehead::descriptors::Shares;
 use anisehead::facade::Ticket;
 use anisehead::health::Event;
 use async_io::{Async, Timer};
 use futures_lite::future;
 use std::collections::{BTreeMap, BTreeSet};
+use std::io::ErrorKind;
 use std::net::TcpListener;
 use std::rc::Rc;
 use std::time::Duration;
@@ -26,13 +28,10 @@
 const UNHEARD: Micros = 10_000_000;
 /// How long a word on a task that stood may be on its way to its owner.
 const UNREAD: Micros = 1_000_000;
+/// Connections that are accepted in one turn.
+const ACCEPTS: usize = 16;
 /// Pause after a failed accept, where nothing could make room.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
-/// Descriptors that the process holds whatever happens: the listener, the reactor, signals, the log,
-/// two connections to feeds, and some that are on their way.
-const OWN_DESCRIPTORS: usize = 24;
-/// Descriptors set apart for each host: its connection, one beside it, and one that is ending.
-const A_HOST: usize = 3;
 
 /// Numbers a connection for the life of the process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -249,16 +248,19 @@
     }
 
     /// Makes room for another connection: one that has said nothing goes before the longest idle one;
-    /// none with an open set-up does. False where there is none to close.
+    /// none with an open set-up does, nor one on which something waits to be read. False where there is
+    /// none to close.
     fn shed(&self, now: Micros) -> bool {
         let idle = self.all.values().filter(|o| o.open.is_empty() && !o.conn.stopping());
-        let first = idle.min_by_key(|o| (o.spoken || now - o.heard < YOUNG, o.proven, o.heard));
+        let mut idle: Vec<&Owner> = idle.collect();
+        idle.sort_by_key(|o| (o.spoken || now - o.heard < YOUNG, o.proven, o.heard));
+        let first = idle.into_iter().find(|o| o.conn.quiet());
         first.map(|owner| owner.conn.stop(End::Crowded)).is_some()
     }
 
-    /// How many connections there may be. Hosts, the feed and balancers have theirs first.
+    /// How many connections there may be with so many hosts listed.
     pub fn budget(&self, hosts: usize) -> usize {
-        self.sockets.saturating_sub(OWN_DESCRIPTORS + self.apart + A_HOST * hosts).max(4)
+        Shares::of(self.sockets, self.apart, hosts).owners
     }
 
     /// How many there are.
@@ -266,8 +268,8 @@
         self.all.values().filter(|o| !o.conn.stopping()).count() + self.lingering
     }
 
-    /// Whether another connection is within the budget.
-    fn crowded(&self, hosts: usize) -> bool {
+    /// Whether another connection is beyond the budget.
+    pub fn crowded(&self, hosts: usize) -> bool {
         self.live() >= self.budget(hosts)
     }
 
@@ -278,31 +280,63 @@
 }
 
 /// Accepts for the life of the process. Guards against a process out of descriptors: an idle
-/// connection is given up for the next, and the loop goes on.
+/// connection is given up for the next, and the loop goes on. Guards also what has been sent on a
+/// connection that waits here: the machine has accepted it, so that its set-up counts as taken. While all
+/// others are busy it waits for the first that is not, and is never closed unread.
 pub async fn accept(listener: Async<TcpListener>, shared: Shared) {
     loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                let mut dispatch = shared.borrow_mut();
-                let now = dispatch.clock.now();
-                let crowded = dispatch.owners.crowded(dispatch.hosts_in_use());
-                // All are busy: this one is closed with nothing taken on it.
-                let turned_away = crowded && !dispatch.owners.shed(now);
-                dispatch.watch(now, Event::Connection { turned_away });
-                if turned_away {
-                    info!(peer = "owner", reason = %End::Crowded, "connection turned away");
-                    continue;
+        if let Err(e) = listener.readable().await {
+            AcceptFailed::pause(&shared, &e).await;
+            continue;
+        }
+        for turn in 0..ACCEPTS {
+            // Room is made for one that is there, not for one that may come.
+            if turn > 0 && shared.borrow().owner_crowds() {
+                break;
+            }
+            make_room(&shared).await;
+            match listener.get_ref().accept() {
+                Ok((stream, _)) => match Async::new(stream) {
+                    Ok(stream) => {
+                        let conn = Rc::new(Conn::new(stream));
+                        // It counts from here on, not from when its task first runs.
+                        let id = shared.borrow_mut().owner_opened(conn.clone());
+                        shared.borrow().tasks.spawn(serve(id, conn, shared.clone()));
+                    }
+                    Err(e) => AcceptFailed::pause(&shared, &e).await,
+                },
+                Err(e) if e.kind() == ErrorKind::WouldBlock => break,
+                Err(e) => {
+                    AcceptFailed::pause(&shared, &e).await;
+                    break;
                 }
-                let conn = Rc::new(Conn::new(stream));
-                dispatch.tasks.spawn(serve(conn, shared.clone()));
             }
-            Err(e) => AcceptFailed::pause(&shared, &e).await,
         }
-        // Connections that were told to end give their descriptors back before the next is taken.
         future::yield_now().await;
     }
 }
 
+/// Waits until another connection is within the budget.
+async fn make_room(shared: &Shared) {
+    let mut waits = false;
+    loop {
+        let crowds = shared.borrow().owner_crowds();
+        let now = shared.borrow().clock.now();
+        if !crowds || shared.borrow().owners.shed(now) {
+            shared.borrow_mut().watch(now, Event::Connection { turned_away: waits });
+            if crowds {
+                // The one that was told to end gives its descriptor back first.
+                future::yield_now().await;
+            }
+            return;
+        }
+        if !std::mem::replace(&mut waits, true) {
+            info!(peer = "owner", reason = %End::Crowded, "connection waits");
+        }
+        Timer::after(ACCEPT_PAUSE).await;
+    }
+}
+
 /// What every listener does where accepting fails.
 pub struct AcceptFailed;
 
@@ -317,8 +351,7 @@
     }
 }
 
-async fn serve(conn: Rc<Conn>, shared: Shared) {
-    let id = shared.borrow_mut().owner_opened(conn.clone());
+async fn serve(id: OwnerId, conn: Rc<Conn>, shared: Shared) {
     let end = conn
         .run(|inbox| {
             let mut taken = 0;
