--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -85,6 +85,9 @@
     Guard {
         /// The program
         program: PathBuf,
+        /// The most descriptors that it may hold
+        #[arg(long)]
+        descriptors: Option<u64>,
     },
 }
 
@@ -226,7 +229,9 @@
         }
         Command::Trace(args) => trace(&args),
         Command::Pace { seconds } => pace(seconds),
-        Command::Guard { program } => Err(standin::keeper::guard(&program).to_string()),
+        Command::Guard { program, descriptors } => {
+            Err(standin::keeper::guard(&program, descriptors).to_string())
+        }
     }
 }
 
--- a/crates/load/src/results.rs
+++ b/crates/load/src/results.rs
@@ -338,6 +338,7 @@
             notes: 0,
             looks: Vec::new(),
             memory_kb: vec![9_000],
+            descriptors: vec![40],
             acts: Vec::new(),
             interrupted: false,
         }
--- a/crates/load/src/run.rs
+++ b/crates/load/src/run.rs
@@ -105,6 +105,8 @@
     pub looks: Vec<Look>,
     /// The most memory that each placer held, in kB.
     pub memory_kb: Vec<u64>,
+    /// The most descriptors.
+    pub descriptors: Vec<usize>,
     /// What was done to the installation, and when.
     pub acts: Vec<(Micros, Act)>,
     /// It was ended by a signal.
@@ -326,6 +328,7 @@
         eprintln!();
     }
     let memory_kb = (0..keeper.count()).map(|n| keeper.peak_kb(n)).collect();
+    let descriptors = (0..keeper.count()).map(|n| keeper.peak_descriptors(n)).collect();
     let (looks, rooms) = (site.looks(), site.rooms());
     drop(site);
     let all = notes.all();
@@ -357,6 +360,7 @@
         notes: kept.len(),
         looks,
         memory_kb,
+        descriptors,
         acts,
         interrupted,
     })
--- a/crates/load/tests/rehearsal.rs
+++ b/crates/load/tests/rehearsal.rs
@@ -315,3 +315,32 @@
     );
     assert_eq!(outcome.counts.wasted, 0, "{:?}", outcome.counts);
 }
+
+// The connections of a placer to its hosts come from a bounded pool: what it needs less makes way.
+#[test]
+fn four_hundred_hosts_are_served_with_two_hundred_and_fifty_six_descriptors() {
+    let plan = format!(
+        "seed = 11
+[placers]
+count = 1
+sockets = 256
+[hosts]
+count = 400
+rack = 10
+cores = 2.0
+memory = 4.0
+[arrivals]
+shape = \"120/s for 6s\"
+{CLASSES}"
+    )
+    .replace("sizes = [[4.0, 6.0]]", "sizes = [[2.0, 4.0]]")
+    .replace("name = \"pagina\"", "name = \"pagina\"\nmost-in-room = 9");
+    let (outcome, folder) = rehearse(&plan);
+    clean(&outcome);
+    let started = outcome.tasks.iter().filter(|task| task.started.is_some()).count();
+    assert!(started * 100 >= outcome.tasks.len() * 98, "{}", summarize(&outcome).text(&outcome));
+    assert!(outcome.descriptors[0] > 128 && outcome.descriptors[0] <= 256, "{:?}", outcome.descriptors);
+    let log = std::fs::read_to_string(folder.path().join("placer-0.log")).expect("a log");
+    assert!(log.contains("reason=crowded"), "the pool is full");
+    assert!(!log.contains("no-descriptor") && !log.contains("accept failed"), "{log}");
+}
--- a/crates/standin/src/audit.rs
+++ b/crates/standin/src/audit.rs
@@ -38,6 +38,8 @@
     Up(u64),
     /// Refused, or over.
     Down(u8),
+    /// The same, with no connection to say it on: it goes out on the next to open.
+    Unsent(u8),
     /// The connection was ended by the host: what was said on it may not arrive.
     Cut,
 }
@@ -125,6 +127,8 @@
     pub answer_grace: Micros,
     /// How soon the end of a task must be told.
     pub end_told: Micros,
+    /// How soon where its host had no connection to tell it on.
+    pub end_found: Micros,
     /// Times of different parties may differ by so much.
     pub slack: Micros,
 }
@@ -137,6 +141,7 @@
             drain_grace: 2_000 * MS,
             answer_grace: 8 * MS,
             end_told: 1_000 * MS,
+            end_found: 8_000 * MS,
             slack: 50 * MS,
         }
     }
@@ -440,7 +445,9 @@
                     attempts.push((*host, *at, None));
                     continue;
                 }
-                Note::Said(_, host, Said::Down(cause)) => (*host, matches!(cause, 34 | 102)),
+                Note::Said(_, host, Said::Down(cause) | Said::Unsent(cause)) => {
+                    (*host, matches!(cause, 34 | 102))
+                }
                 Note::Said(_, host, Said::Up(_) | Said::Cut) => (*host, false),
                 Note::Stopped(_, host) | Note::Closed(_, host) => (*host, false),
                 _ => continue,
@@ -480,17 +487,20 @@
                 Note::Told(_, Told::Placed(_)) => up = up.or(Some(*at)),
                 Note::Sent { at: Some(_), .. } => up = up.or(Some(*at)),
                 Note::Said(_, _, Said::Down(cause)) if up.is_some() && !matches!(cause, 31) => {
-                    over = over.or(Some(*at))
+                    over = over.or(Some((*at, self.rules.end_told)))
+                }
+                Note::Said(_, _, Said::Unsent(cause)) if up.is_some() && !matches!(cause, 31) => {
+                    over = over.or(Some((*at, self.rules.end_found)))
                 }
                 _ => {}
             }
         }
-        let (Some(up), Some(over)) = (up, over) else { return };
+        let (Some(up), Some((over, within))) = (up, over) else { return };
         let placer = notes.iter().rev().find_map(|(_, note)| match note {
             Note::Sent { placer, .. } => Some(*placer),
             _ => None,
         });
-        let due = over.max(up) + self.rules.end_told + self.rules.slack;
+        let due = over.max(up) + within + self.rules.slack;
         let hindered = placer.and_then(|p| self.lives.get(&p)).is_some_and(|lives| lives.hindered(up, due));
         let told = notes.iter().any(|(at, note)| {
             matches!(note, Note::Told(_, Told::Released(_) | Told::Moved)) && *at >= up && *at <= due
@@ -526,7 +536,7 @@
                 Note::Said(id, host, Said::Up(_)) => {
                     open.insert((*id, *host), *at);
                 }
-                Note::Said(id, host, Said::Down(_)) | Note::Stopped(id, host) => {
+                Note::Said(id, host, Said::Down(_) | Said::Unsent(_)) | Note::Stopped(id, host) => {
                     close(&mut open, *id, *host, *at)
                 }
                 Note::Died(host) => {
@@ -613,7 +623,7 @@
                     there.insert(*id, *at);
                     where_is.entry(*id).or_default().push(place);
                 }
-                Note::Said(id, _, Said::Down(_) | Said::Cut)
+                Note::Said(id, _, Said::Down(_) | Said::Unsent(_) | Said::Cut)
                 | Note::Stopped(id, _)
                 | Note::Closed(id, _)
                 | Note::Told(id, Told::Released(_) | Told::Moved) => {
@@ -817,6 +827,16 @@
                     vec![(5 * SECOND, Note::Told(8, Told::Released(41)))],
                 ),
             ),
+            (
+                Rule::EndUntold,
+                planted(
+                    |n| matches!(n, Note::Said(8, _, Said::Down(_)) | Note::Told(8, Told::Released(41))),
+                    vec![
+                        (4 * SECOND, Note::Said(8, 1, Said::Unsent(41))),
+                        (13 * SECOND, Note::Told(8, Told::Released(41))),
+                    ],
+                ),
+            ),
             (Rule::Crash, planted(none, vec![(50 * SECOND, Note::Placer(0, Life::Ended(101)))])),
         ];
         for (rule, notes) in &cases {
--- a/crates/standin/src/keeper.rs
+++ b/crates/standin/src/keeper.rs
@@ -3,7 +3,7 @@
 use crate::audit::{Life, Note};
 use crate::notes::Notes;
 use crate::site::Site;
-use rustix::process::{Pid, Signal, kill_process};
+use rustix::process::{Pid, Resource, Rlimit, Signal, kill_process};
 use simd_json::prelude::*;
 use simd_json::{OwnedValue, json};
 use std::fs::File;
@@ -44,6 +44,7 @@
     starts: u64,
     stopped: bool,
     peak_kb: u64,
+    peak_descriptors: usize,
 }
 
 /// All placers of a run.
@@ -60,8 +61,17 @@
         let mut keeper = Keeper { start, notes, placers: Vec::new() };
         for n in 0..count {
             let [listen, agent, http] = [(); 3].map(|()| crate::free_address());
-            let (child, starts, stopped, peak_kb) = (None, 0, false, 0);
-            keeper.placers.push(Placer { listen, agent, http, child, starts, stopped, peak_kb });
+            let (child, starts, stopped, peak_kb, peak_descriptors) = (None, 0, false, 0, 0);
+            keeper.placers.push(Placer {
+                listen,
+                agent,
+                http,
+                child,
+                starts,
+                stopped,
+                peak_kb,
+                peak_descriptors,
+            });
             keeper.launch(n, site)?;
         }
         Ok(keeper)
@@ -115,6 +125,10 @@
             Some(guard) => {
                 let mut command = Command::new(guard);
                 command.arg("guard").arg(&self.start.binary);
+                // The system holds it to its descriptors, too.
+                if let Some(sockets) = self.start.limits.get("sockets").and_then(OwnedValue::as_u64) {
+                    command.args(["--descriptors", &sockets.to_string()]);
+                }
                 command
             }
             None => Command::new(&self.start.binary),
@@ -201,6 +215,7 @@
                 continue;
             }
             placer.peak_kb = placer.peak_kb.max(resident_kb(child.id()));
+            placer.peak_descriptors = placer.peak_descriptors.max(descriptors(child.id()));
         }
     }
 
@@ -209,6 +224,11 @@
         self.placers.get(n).map_or(0, |p| p.peak_kb)
     }
 
+    /// The most descriptors that a placer was seen to hold.
+    pub fn peak_descriptors(&self, n: usize) -> usize {
+        self.placers.get(n).map_or(0, |p| p.peak_descriptors)
+    }
+
     /// The memory that it holds now, in kB, and the time that it has spent on a core.
     pub fn usage(&self, n: usize) -> (u64, Duration) {
         let child = self.placers.get(n).and_then(|p| p.child.as_ref());
@@ -249,6 +269,10 @@
     line.and_then(|l| l.split_whitespace().next()).and_then(|n| n.parse().ok()).unwrap_or(0)
 }
 
+fn descriptors(pid: u32) -> usize {
+    std::fs::read_dir(format!("/proc/{pid}/fd")).map_or(0, Iterator::count)
+}
+
 fn cpu(pid: u32) -> Duration {
     let text = std::fs::read_to_string(format!("/proc/{pid}/stat")).unwrap_or_default();
     let after = text.rsplit_once(')').map_or("", |(_, after)| after);
@@ -256,9 +280,16 @@
     Duration::from_millis(10 * (ticks(11) + ticks(12)))
 }
 
-/// What `GUARD guard PROGRAM` does: becomes the program, and dies with whoever started it.
-pub fn guard(program: &Path) -> io::Error {
+/// What `GUARD guard PROGRAM` does: becomes the program, with so many descriptors at the most, and dies with
+/// whoever started it.
+pub fn guard(program: &Path, descriptors: Option<u64>) -> io::Error {
     use std::os::unix::process::CommandExt;
+    if let Some(most) = descriptors {
+        let limit = Rlimit { current: Some(most), maximum: Some(most) };
+        if let Err(e) = rustix::process::setrlimit(Resource::Nofile, limit) {
+            return e.into();
+        }
+    }
     if let Err(e) = rustix::process::set_parent_process_death_signal(Some(Signal::KILL)) {
         return e.into();
     }
--- a/crates/standin/src/site.rs
+++ b/crates/standin/src/site.rs
@@ -922,7 +922,9 @@
             }
             Word::Down(cause, note) => {
                 notes.ran(key, number);
-                notes.add(Note::Said(id, number, Said::Down(cause)));
+                let heard = !self.conns.is_empty();
+                let word = if heard { Said::Down(cause) } else { Said::Unsent(cause) };
+                notes.add(Note::Said(id, number, word));
                 let line = json!({ "t": "down", "ref": hex(id), "f": { "note": note }, "c": cause });
                 let refused = matches!(cause, 34 | 102);
                 if !refused {
--- a/src/descriptors/mod.rs
+++ b/src/descriptors/mod.rs
@@ -11,6 +11,10 @@
 //!           hosts   at most three for each host: its connection, one beside it, one that is ending
 //! ```
 
+mod pool;
+
+pub use pool::{Answer, Pool, Rank, Want};
+
 /// Descriptors that the process holds whatever happens: standard streams, the listener, the reactor,
 /// signals, the log, two connections to feeds, and some that are on their way.
 pub const OWN: usize = 24;
--- a/src/net/dispatch.rs
+++ b/src/net/dispatch.rs
@@ -3,31 +3,35 @@
 //! Everything that happens on a socket or the wheel ends here, is told to the facade, and comes back
 //! as verdicts. This is the only place that sends a final answer.
 
+mod at_hosts;
+mod links;
+
 use super::clock::Clock;
 use super::codec::binary::{self, OwnerWord};
-use super::codec::feed::{FeedLine, Listed};
+use super::codec::feed::FeedLine;
 use super::codec::lines::{self, HostWord};
 use super::codec::{Malformed, SetUp, TaskId, cause};
 use super::config::{Config, Limits};
 use super::conn::{self, Conn, End};
 use super::health::gate::Gate;
 use super::health::watch::{Refused, Task, Watch};
-use super::hosts::{self, Link, Phase, Round, Unmade};
+use super::hosts::{Link, Phase, Round, Unmade};
 use super::owners::{OwnerId, Owners, STUCK};
 use super::wheel::Wheel;
 use crate::ctl;
 use crate::operator::Operator;
+use anisehead::descriptors::Pool;
 use anisehead::facade::{Facade, News, Ticket, Unfit, Verdict};
 use anisehead::health::drain::Hand;
 use anisehead::health::{Event, Gauges, Zone};
 use anisehead::settings::Names;
 use anisehead::{Detail, HostId, HostState, Micros, Outcome};
 use async_executor::LocalExecutor;
+use at_hosts::AtHosts;
 use simd_json::OwnedValue;
 use std::cell::RefCell;
 use std::collections::{BTreeMap, VecDeque};
 use std::rc::{Rc, Weak};
-use std::time::Duration;
 use tracing::{info, warn};
 
 const MILLI: Micros = 1_000;
@@ -39,14 +43,8 @@
 const CLOSE_OPEN: Micros = 1_000 * MILLI;
 const CLOSE_ANSWER: Micros = 3_300 * MILLI;
 const CLOSE_END: Micros = 3_500 * MILLI;
-/// How long half a line of a host may wait for its rest.
-const HALF: Duration = Duration::from_millis(400);
-/// How long a host may be out of reach until what stood there counts as lost.
-const UNREACHED: Micros = 1_500 * MILLI;
 /// How long an offer may be out on a connection on which nothing is heard.
 const DOUBT: Micros = 1_000 * MILLI;
-/// Replaced connections to a host that are kept.
-const MOST_DOUBTED: usize = 3;
 /// How long a host may take to confirm a release.
 const LEAVING: Micros = 3_000 * MILLI;
 /// How long the list may be late to name a host at which a task is said to stand.
@@ -85,6 +83,8 @@
 enum Due {
     Attempt(Ticket, u32),
     Doubt(Ticket, u32),
+    /// An offer that waits for a connection, which may itself wait for a descriptor.
+    Unslotted(Ticket, u32),
     Connect(HostId, Round),
     Redial(HostId, Round),
     Left(Ticket),
@@ -136,6 +136,12 @@
     facade: Facade,
     wheel: Wheel<Due>,
     hosts: BTreeMap<HostId, Link>,
+    /// Hosts that are not gone.
+    in_use: usize,
+    /// Which of them have a connection.
+    pool: Pool<HostId, (HostId, Round)>,
+    /// The requests by the host that they are at.
+    at_hosts: AtHosts,
     requests: BTreeMap<Ticket, Request>,
     by_id: BTreeMap<TaskId, Ticket>,
     ended: BTreeMap<TaskId, Ended>,
@@ -174,6 +180,9 @@
             facade: Facade::new(config.settings, config.names, config.seed),
             wheel: Wheel::new(now),
             hosts: BTreeMap::new(),
+            in_use: 0,
+            pool: Pool::new(usize::MAX),
+            at_hosts: AtHosts::default(),
             requests: BTreeMap::new(),
             by_id: BTreeMap::new(),
             ended: BTreeMap::new(),
@@ -205,6 +214,7 @@
     /// Takes over what the process may hold.
     pub fn limit(&mut self, limits: Limits) {
         self.owners.limit(limits.sockets);
+        self.share_out();
         conn::bound_queues(limits.memory / QUEUES);
     }
 
@@ -264,7 +274,7 @@
         let attempt = request.attempts;
         request.attempts += 1;
         let until = now.saturating_add(timeout);
-        request.state = State::Out { attempt, host: host.clone(), since: now, until, round: None };
+        self.enter(ticket, State::Out { attempt, host: host.clone(), since: now, until, round: None });
         self.wheel.add(until, Due::Attempt(ticket, attempt));
         let link = self.hosts.get_mut(&host).filter(|link| link.dial.is_some());
         let Some(link) = link else { return self.end_attempt(now, ticket, Outcome::Moot, Detail::None) };
@@ -272,7 +282,10 @@
         match link.phase {
             Phase::Up(_) => self.send_waiting(now, &host),
             Phase::Connecting(_) => {}
-            Phase::Down => self.dial(now, &host),
+            Phase::Down => {
+                self.call(now, &host);
+                self.wheel.add(now + self.connect_timeout, Due::Unslotted(ticket, attempt));
+            }
         }
         None
     }
@@ -294,6 +307,7 @@
                 link.waiting.push((ticket, attempt));
             }
         }
+        self.settle(now, host, true);
     }
 
     /// An attempt that is out has ended: the request is the module's again.
@@ -301,8 +315,10 @@
         let request = self.requests.get_mut(&ticket)?;
         let State::Out { attempt, host, since, .. } = &request.state else { return None };
         let (attempt, host, elapsed) = (*attempt, host.clone(), now - since);
-        request.state = State::Held;
-        let stretch = elapsed as f64 / request.aim as f64;
+        let aim = request.aim;
+        self.enter(ticket, State::Held);
+        self.settle(now, &host, false);
+        let stretch = elapsed as f64 / aim as f64;
         // What its owner gave up tells nothing of the host.
         if outcome != Outcome::Cancelled {
             self.watch(now, Event::Offer { outcome, detail, stretch });
@@ -340,8 +356,24 @@
         news
     }
 
+    /// A request goes over into another state.
+    fn enter(&mut self, ticket: Ticket, state: State) {
+        let Some(request) = self.requests.get_mut(&ticket) else { return };
+        let before = std::mem::replace(&mut request.state, state);
+        if let Some(host) = before.at() {
+            self.at_hosts.left(ticket, host, before.stands());
+        }
+        if let Some(host) = request.state.at() {
+            self.at_hosts.came(ticket, host, request.state.stands());
+        }
+    }
+
     fn remove(&mut self, ticket: Ticket) -> Option<Request> {
         let request = self.requests.remove(&ticket)?;
+        if let Some(host) = request.state.at() {
+            self.at_hosts.left(ticket, host, request.state.stands());
+            self.settle(self.clock.now(), host, false);
+        }
         if let Some(home) = request.home {
             self.owners.count_standing(home, false);
         }
@@ -377,14 +409,20 @@
         let Some(request) = self.requests.get_mut(&ticket) else { return };
         let State::Standing { attempt, host, since } = &request.state else { return };
         let line = lines::release(request.id, cause);
-        if let Some(link) = self.hosts.get_mut(host) {
-            match &link.phase {
-                Phase::Up(conn) if conn.send(now, &line) => {}
-                _ => link.unsent.push(line),
+        let host = host.clone();
+        let state = State::Leaving { attempt: *attempt, host: host.clone(), since: *since };
+        let mut sent = true;
+        if let Some(link) = self.hosts.get_mut(&host) {
+            sent = matches!(&link.phase, Phase::Up(conn) if conn.send(now, &line));
+            if !sent {
+                link.unsent.push(line);
             }
         }
-        request.state = State::Leaving { attempt: *attempt, host: host.clone(), since: *since };
+        self.enter(ticket, state);
         self.wheel.add(now + LEAVING, Due::Left(ticket));
+        if !sent {
+            self.call(now, &host);
+        }
     }
 
     /// Guards against tasks named at hosts that no list knows: they would stand for ever.
@@ -510,6 +548,9 @@
         self.by_id.insert(id, ticket);
         let aim = self.facade.aim(class).unwrap_or(MILLI).max(MILLI);
         let owner = Some(owner);
+        if let Some(host) = state.at() {
+            self.at_hosts.came(ticket, host, state.stands());
+        }
         let request = Request { id, owner, set_up: None, attempts: 0, state, since: now, aim, home: None };
         self.requests.insert(ticket, request);
         ticket
@@ -588,6 +629,8 @@
         self.stands_for(ticket, owner);
         if self.hosts.contains_key(host) {
             self.owners.prove(owner);
+            self.settle(now, host, false);
+            self.call(now, host);
         } else {
             self.wheel.add(now + UNLISTED, Due::Unlisted(ticket));
         }
@@ -605,205 +648,15 @@
 
     // ---- Hosts ----
 
-    /// Hosts that may have connections.
-    pub fn hosts_in_use(&self) -> usize {
-        self.hosts.values().filter(|link| link.state != HostState::Gone).count()
-    }
-
-    /// News of the list. Tasks at what is gone, or at a process that started after them, are lost.
-    pub fn listed(&mut self, whole: bool, hosts: Vec<Listed>) {
-        let now = self.clock.now();
-        self.watch(now, Event::Feed);
-        let entries = self.update_hosts(now, whole, hosts);
-        // Of the others nothing is news.
-        let named: Vec<HostId> = if whole {
-            self.hosts.keys().cloned().collect()
-        } else {
-            entries.iter().map(|entry| entry.host.clone()).collect()
-        };
-        self.tell(now, News::Listed { whole, entries });
-        let over = |host: HostId| {
-            let link = self.hosts.get(&host)?;
-            let gone = link.state == HostState::Gone;
-            (gone || link.born > 0).then_some((host, if gone { Micros::MAX } else { link.born }))
-        };
-        let lost: Vec<(HostId, Micros)> = named.into_iter().filter_map(over).collect();
-        for (host, before) in lost {
-            self.lose(now, &host, before);
-        }
-    }
-
-    fn update_hosts(&mut self, now: Micros, whole: bool, hosts: Vec<Listed>) -> Vec<anisehead::Entry> {
-        if whole {
-            for (host, link) in &mut self.hosts {
-                if !hosts.iter().any(|h| h.entry.host == *host) {
-                    link.state = HostState::Gone;
-                }
-            }
-        }
-        let mut entries = Vec::with_capacity(hosts.len());
-        for listed in hosts {
-            let link = self.hosts.entry(listed.entry.host.clone()).or_insert_with(|| Link::new(&listed));
-            let Listed { entry, dial } = listed;
-            (link.state, link.cell, link.born) = (entry.state, entry.cell, entry.ready_at);
-            (link.zone, link.free) = (entry.zone, [entry.free_cores, entry.free_memory]);
-            if dial.is_some() && link.dial != dial {
-                link.dial = dial;
-                link.conns().for_each(|conn| conn.stop(End::HostGone));
-            }
-            entries.push(entry);
-        }
-        // A gone host's address may be a new host's: nothing more is to reach the old one there.
-        for link in self.hosts.values_mut().filter(|link| link.state == HostState::Gone) {
-            link.conns().for_each(|conn| conn.stop(End::HostGone));
-        }
-        let down = |link: &Link| link.state != HostState::Gone && matches!(link.phase, Phase::Down);
-        let fresh = |link: &Link| down(link) && link.failures == 0;
-        let names: Vec<HostId> =
-            self.hosts.iter().filter(|(_, link)| fresh(link)).map(|(host, _)| host.clone()).collect();
-        names.iter().for_each(|host| self.dial(now, host));
-        entries
-    }
-
-    /// Starts to connect.
-    fn dial(&mut self, now: Micros, host: &HostId) {
-        let Some(link) = self.hosts.get_mut(host) else { return };
-        let Some(address) = link.dial else { return };
-        let Some(shared) = self.tasks.shared.upgrade() else { return };
-        let (stop, stopped) = async_channel::bounded(1);
-        link.round += 1;
-        link.dialled = now;
-        link.phase = Phase::Connecting(stop);
-        self.wheel.add(now + self.connect_timeout, Due::Connect(host.clone(), link.round));
-        self.tasks.spawn(hosts::serve(host.clone(), link.round, address, stopped, shared));
-    }
-
-    /// The connection is up; false if it is not wanted any more.
-    pub fn host_up(&mut self, host: &HostId, round: Round, conn: Rc<Conn>) -> bool {
-        let now = self.clock.now();
-        let Some(link) = self.hosts.get_mut(host) else { return false };
-        if link.round != round || !matches!(link.phase, Phase::Connecting(_)) {
-            return false;
-        }
-        link.unsent.retain(|line| !conn.send(now, line));
-        link.phase = Phase::Up(conn);
-        (link.failures, link.down_since, link.heard) = (0, None, now);
-        self.send_waiting(now, host);
-        true
-    }
-
-    /// The connection was not made: what waited for it never ran.
-    pub fn host_unmade(&mut self, host: &HostId, round: Round, why: Unmade) {
-        let now = self.clock.now();
-        let Some(link) = self.hosts.get_mut(host) else { return };
-        if link.round != round || !matches!(link.phase, Phase::Connecting(_)) {
-            return;
-        }
-        link.phase = Phase::Down;
-        link.refused = why == Unmade::Refused;
-        link.failures = link.failures.saturating_add(1);
-        let down_since = *link.down_since.get_or_insert(now);
-        let waiting = std::mem::take(&mut link.waiting);
-        if link.state != HostState::Gone {
-            self.wheel.add(now + link.pause(), Due::Redial(host.clone(), round));
-        }
-        let first = link.failures == 1;
-        if first {
-            info!(peer = "host", host = &*host.0, connection = round, reason = %why, "connection ended");
-        }
-        self.never_ran(now, waiting);
-        // A refused connection proves that the process is gone, and its tasks with it, unless it is heard
-        // on another. One that never comes up proves nothing, until it has lasted.
-        let Some(link) = self.hosts.get(host) else { return };
-        let silent = link.heard <= link.dialled;
-        if silent && (why == Unmade::Refused || now - down_since >= UNREACHED) {
-            link.conns().for_each(|conn| conn.stop(End::Silent));
-            self.lose(now, host, Micros::MAX);
-        }
-        if first {
-            self.doubt_cell(now, host);
-        }
-    }
-
-    /// Guards against machines of a cell that died together: where nothing is out on a connection its
-    /// end may go unheard, and what stands there would be lost only when the feed tells.
-    fn doubt_cell(&mut self, now: Micros, failed: &HostId) {
-        let Some(cell) = self.hosts.get(failed).map(|link| link.cell) else { return };
-        let others = self.hosts.iter().filter(|(host, link)| *host != failed && link.cell == cell);
-        let others: Vec<HostId> = others.map(|(host, _)| host.clone()).collect();
-        others.iter().for_each(|host| self.doubt(now, host));
-    }
-
-    /// Makes another connection beside the one that is up.
-    fn doubt(&mut self, now: Micros, host: &HostId) {
-        let Some(link) = self.hosts.get_mut(host) else { return };
-        if let Phase::Up(conn) = &link.phase {
-            link.doubted.push((link.round, conn.clone()));
-            self.dial(now, host);
-        }
-    }
-
-    /// An offer is out and its host has said nothing since. Guards against a machine that vanished: its
-    /// connection stays open and silent. Another is made beside it, so that later offers don't vanish
-    /// too; where none comes up either, what stands there is lost. Offers stay out on the silent one.
-    fn doubt_silent(&mut self, now: Micros, ticket: Ticket, attempt: u32) {
-        let Some(Request { state: State::Out { attempt: n, host, since, round, .. }, .. }) =
-            self.requests.get(&ticket)
-        else {
-            return;
-        };
-        let host = host.clone();
-        let Some(link) = self.hosts.get(&host) else { return };
-        if *n == attempt && *round == Some(link.round) && link.heard < *since {
-            self.doubt(now, &host);
-        }
-    }
-
-    /// Offers that waited for a connection in vain.
-    fn never_ran(&mut self, now: Micros, waiting: Vec<(Ticket, u32)>) {
-        for (ticket, attempt) in waiting {
-            let request = self.requests.get(&ticket);
-            if request.is_some_and(|r| matches!(r.state, State::Out { attempt: n, .. } if n == attempt)) {
-                let news = self.end_attempt(now, ticket, Outcome::ConnectFailed, Detail::None);
-                news.into_iter().for_each(|news| self.tell(now, news));
-            }
-        }
-    }
-
-    /// The connection has ended: what was offered on it may have run. What stands there still does.
-    pub fn host_ended(&mut self, host: &HostId, round: Round, end: End) {
-        let now = self.clock.now();
-        let cut = self.requests.iter().filter(|(_, r)| r.out_on(host, round));
-        let cut: Vec<Ticket> = cut.map(|(ticket, _)| *ticket).collect();
-        let out = cut.len();
-        info!(peer = "host", host = &*host.0, connection = round, reason = %end, out, "connection ended");
-        let Some(link) = self.hosts.get_mut(host) else { return };
-        link.doubted.retain(|(r, _)| *r != round);
-        if link.round == round {
-            link.phase = Phase::Down;
-            if link.state != HostState::Gone {
-                self.dial(now, host);
-            } else {
-                let waiting = std::mem::take(&mut link.waiting);
-                self.never_ran(now, waiting);
-            }
-        }
-        for ticket in cut {
-            let news = self.end_attempt(now, ticket, Outcome::Reset, Detail::None);
-            news.into_iter().for_each(|news| self.tell(now, news));
-        }
-    }
-
     /// What stood at a host since before then is lost.
     fn lose(&mut self, now: Micros, host: &HostId, before: Micros) {
-        let there = |state: &State| match state {
-            State::Standing { host: h, since, .. } | State::Leaving { host: h, since, .. } => {
-                h == host && *since < before
-            }
-            State::Held | State::Out { .. } => false,
+        let there = |ticket: &Ticket| {
+            self.requests.get(ticket).is_some_and(|r| match r.state {
+                State::Standing { since, .. } | State::Leaving { since, .. } => since < before,
+                State::Held | State::Out { .. } => false,
+            })
         };
-        let lost = self.requests.iter().filter(|(_, r)| there(&r.state));
-        let lost: Vec<Ticket> = lost.map(|(ticket, _)| *ticket).collect();
+        let lost: Vec<Ticket> = self.at_hosts.standing(host).filter(there).collect();
         if !lost.is_empty() {
             info!(host = &*host.0, tasks = lost.len(), "tasks lost");
         }
@@ -815,7 +668,7 @@
     pub fn host_word(&mut self, host: &HostId, id: TaskId, word: HostWord) {
         let now = self.clock.now();
         if let Some(link) = self.hosts.get_mut(host) {
-            link.heard = now;
+            (link.heard, link.doubt) = (now, false);
         }
         let ticket = self.by_id.get(&id).copied();
         let known = ticket.and_then(|ticket| Some((ticket, self.requests.get_mut(&ticket)?)));
@@ -829,11 +682,13 @@
         match (&request.state, word) {
             (State::Out { attempt, host: h, since, .. }, HostWord::Up(description)) if h == host => {
                 let (attempt, elapsed) = (*attempt, now - since);
-                request.state = State::Standing { attempt, host: host.clone(), since: now };
                 request.set_up = None;
                 let (stretch, in_aim) =
                     (elapsed as f64 / request.aim as f64, now - request.since <= request.aim);
-                if let Some(owner) = request.owner.take() {
+                let owner = request.owner.take();
+                self.enter(ticket, State::Standing { attempt, host: host.clone(), since: now });
+                self.settle(now, host, true);
+                if let Some(owner) = owner {
                     self.owners.send(now, owner, &binary::answer(id, &description));
                     self.owners.settled(owner, ticket);
                     self.owners.prove(owner);
@@ -852,7 +707,8 @@
                 if h == host =>
             {
                 let (attempt, host, elapsed, outcome) = (*attempt, host.clone(), now - since, Outcome::Ok);
-                request.state = State::Held;
+                self.enter(ticket, State::Held);
+                self.settle(now, &host, true);
                 self.answer(now, ticket, |id| binary::release(id, cause::NORMAL, None));
                 self.tell(now, News::Ended { ticket, attempt, host, outcome, detail, elapsed });
             }
@@ -1036,26 +892,6 @@
         now - since >= CLOSE_END || (now - since >= CLOSE_OPEN && clear)
     }
 
-    /// Ends connections that are stuck, and the oldest replaced ones on which no offer is out. The latest
-    /// stay: the host may have words under way on them, and closes them itself when they idle.
-    fn sweep_hosts(&mut self, now: Micros) {
-        // Guards against hosts that come and go all day.
-        self.hosts.retain(|_, link| !link.over());
-        let out_on = |host: &HostId, round| self.requests.values().any(|r| r.out_on(host, round));
-        for (host, link) in &self.hosts {
-            // Guards also against an answer that stops short: nothing after it can be read.
-            link.conns().for_each(|conn| {
-                conn.end_if_stuck(now, STUCK);
-                conn.end_if_half(HALF);
-            });
-            for (round, conn) in link.doubted.iter().rev().skip(MOST_DOUBTED) {
-                if !out_on(host, *round) {
-                    conn.stop(End::Replaced);
-                }
-            }
-        }
-    }
-
     /// One turn of the wheel.
     pub fn tick(&mut self) {
         let now = self.clock.now();
@@ -1067,6 +903,7 @@
                     news.into_iter().for_each(|news| self.tell(now, news));
                 }
                 Due::Doubt(ticket, attempt) => self.doubt_silent(now, ticket, attempt),
+                Due::Unslotted(ticket, attempt) => self.end_unslotted(now, ticket, attempt),
                 Due::Connect(host, round) => {
                     if let Some(Link { phase: Phase::Connecting(stop), round: r, .. }) = self.hosts.get(&host)
                         && *r == round
@@ -1076,12 +913,8 @@
                     }
                 }
                 Due::Redial(host, round) => {
-                    let link = self.hosts.get(&host);
-                    let wanted = |l: &Link| {
-                        l.round == round && l.state != HostState::Gone && matches!(l.phase, Phase::Down)
-                    };
-                    if link.is_some_and(wanted) {
-                        self.dial(now, &host);
+                    if self.hosts.get(&host).is_some_and(|link| link.round == round) {
+                        self.call(now, &host);
                     }
                 }
                 Due::Left(ticket) => {
@@ -1092,7 +925,7 @@
                 Due::Unlisted(ticket) => self.end_unlisted(now, ticket),
                 Due::Sweep => {
                     self.owners.sweep(now);
-                    self.sweep_hosts(now);
+                    self.sweep_links(now);
                     self.gate.sweep(now);
                     self.orders.iter().for_each(|gate| gate.sweep(now));
                     self.look(now);
@@ -1106,16 +939,33 @@
     }
 }
 
+impl State {
+    /// The host that it is at: where its offer is out, it stands, or it leaves.
+    fn at(&self) -> Option<&HostId> {
+        match self {
+            State::Held => None,
+            State::Out { host, .. } | State::Standing { host, .. } | State::Leaving { host, .. } => {
+                Some(host)
+            }
+        }
+    }
+
+    /// Whether it stands there, or leaves.
+    fn stands(&self) -> bool {
+        matches!(self, State::Standing { .. } | State::Leaving { .. })
+    }
+
+    /// The connection that its offer is out on.
+    fn out_on(&self) -> Option<Round> {
+        if let State::Out { round, .. } = self { *round } else { None }
+    }
+}
+
 impl Request {
     /// Whether its owner waits for an answer.
     fn owes(&self) -> bool {
         matches!(self.state, State::Held | State::Out { .. })
     }
-
-    /// Whether its offer is out on this connection.
-    fn out_on(&self, host: &HostId, round: Round) -> bool {
-        matches!(&self.state, State::Out { host: h, round: Some(r), .. } if h == host && *r == round)
-    }
 }
 
 fn offer_line(id: TaskId, set_up: &SetUp, left: Micros) -> Option<Vec<u8>> {
--- /dev/null
+++ b/src/net/dispatch/links.rs
@@ -0,0 +1,382 @@
+//! The connections to hosts: which there are, what their ends mean, and the list.
+
+use super::{Dispatch, Due, MILLI, Request, STUCK, State};
+use crate::net::codec::feed::Listed;
+use crate::net::conn::{Conn, End};
+use crate::net::hosts::{self, Link, Phase, Round, Unmade};
+use anisehead::descriptors::{Answer, Rank, Want};
+use anisehead::facade::{News, Ticket};
+use anisehead::health::Event;
+use anisehead::{Detail, HostId, HostState, Micros, Outcome};
+use std::rc::Rc;
+use std::time::Duration;
+use tracing::info;
+
+/// How long half a line of a host may wait for its rest.
+const HALF: Duration = Duration::from_millis(400);
+/// How long a host may be out of reach until what stood there counts as lost.
+const UNREACHED: Micros = 1_500 * MILLI;
+/// Replaced connections to a host that are kept.
+const MOST_DOUBTED: usize = 3;
+/// How long a host at which tasks stand is left without a connection. It tells their ends on one only, and
+/// they are owed to owners within 8 s (the protocol's figure): of these a visit may wait for a slot, and a
+/// host that does not answer it is called until `UNREACHED` has passed.
+const VISIT: Micros = 3_000 * MILLI;
+
+impl Dispatch {
+    // ---- Slots ----
+
+    /// Hosts that may have connections.
+    pub fn hosts_in_use(&self) -> usize {
+        self.in_use
+    }
+
+    /// Shares the descriptors out anew.
+    pub(super) fn share_out(&mut self) {
+        self.pool.resize(self.owners.shares(self.in_use).hosts);
+        self.make_way(self.clock.now());
+    }
+
+    /// What a connection to a host is wanted for, if one more is.
+    fn need(&self, host: &HostId) -> Option<Want> {
+        let link = self.hosts.get(host)?;
+        let beside = match &link.phase {
+            Phase::Connecting(_) => return None,
+            Phase::Up(_) if !link.doubt => return None,
+            Phase::Up(_) => true,
+            Phase::Down => false,
+        };
+        if !link.waiting.is_empty() {
+            Some(Want::Offer)
+        } else if link.state == HostState::Gone {
+            None
+        } else if !link.unsent.is_empty() || beside {
+            Some(Want::Release)
+        } else if self.at_hosts.standing(host).next().is_some() {
+            Some(Want::Visit)
+        } else {
+            (link.state == HostState::Up).then_some(Want::Warm)
+        }
+    }
+
+    /// Calls a host, if a connection is wanted, as soon as there is a slot for it.
+    pub(super) fn call(&mut self, now: Micros, host: &HostId) {
+        let Some(want) = self.need(host) else { return };
+        if self.pool.ask(now, host.clone(), want) == Answer::Call {
+            self.dial(now, host);
+        }
+        self.make_way(now);
+    }
+
+    /// Closes connections that others need more, and calls what has a slot now.
+    fn make_way(&mut self, now: Micros) {
+        while let Some((host, round)) = self.pool.make_way(now) {
+            if let Some(conn) = self.hosts.get(&host).and_then(|link| link.open(round)) {
+                conn.stop(End::Crowded);
+            }
+        }
+        while let Some(host) = self.pool.call_next() {
+            if self.need(&host).is_some() {
+                self.dial(now, &host);
+            }
+        }
+    }
+
+    /// The descriptor of a connection has been given back.
+    pub fn slot_freed(&mut self, host: &HostId, round: Round) {
+        self.pool.freed(&(host.clone(), round));
+        self.make_way(self.clock.now());
+    }
+
+    /// Tells the pool what the connections to a host are needed for, `used` where one just was.
+    pub(super) fn settle(&mut self, now: Micros, host: &HostId, used: bool) {
+        let Some(link) = self.hosts.get(host) else { return };
+        let out_on = |round| {
+            let on = |ticket: Ticket| self.requests.get(&ticket).and_then(|r| r.state.out_on());
+            self.at_hosts.out(host).any(|ticket| on(ticket) == Some(round))
+        };
+        if let Phase::Up(_) = &link.phase {
+            let rank = if out_on(link.round) {
+                Rank::Busy
+            } else if self.at_hosts.standing(host).next().is_some() {
+                Rank::Stands
+            } else {
+                Rank::Idle
+            };
+            self.pool.rank(&(host.clone(), link.round), rank, used.then_some(now));
+        }
+        for (round, _) in &link.doubted {
+            let rank = if out_on(*round) { Rank::Busy } else { Rank::Spare };
+            self.pool.rank(&(host.clone(), *round), rank, None);
+        }
+        if self.pool.waiting() > 0 {
+            self.make_way(now);
+        }
+    }
+
+    /// An offer has waited for a connection as long as one may take to come up. Where its host was not even
+    /// called, for want of a slot, it never left, and nothing is held against the host.
+    pub(super) fn end_unslotted(&mut self, now: Micros, ticket: Ticket, attempt: u32) {
+        let Some(State::Out { attempt: n, host, round: None, .. }) =
+            self.requests.get(&ticket).map(|r| &r.state)
+        else {
+            return;
+        };
+        let host = host.clone();
+        let Some(link) = self.hosts.get_mut(&host).filter(|link| matches!(link.phase, Phase::Down)) else {
+            return;
+        };
+        if *n != attempt {
+            return;
+        }
+        link.waiting.retain(|offer| *offer != (ticket, attempt));
+        if self.need(&host).is_none() {
+            self.pool.forget(&host);
+        }
+        let news = self.end_attempt(now, ticket, Outcome::Moot, Detail::None);
+        news.into_iter().for_each(|news| self.tell(now, news));
+    }
+
+    // ---- The list ----
+
+    /// News of the list. Tasks at what is gone, or at a process that started after them, are lost.
+    pub fn listed(&mut self, whole: bool, hosts: Vec<Listed>) {
+        let now = self.clock.now();
+        self.watch(now, Event::Feed);
+        let entries = self.update_hosts(now, whole, hosts);
+        // Of the others nothing is news.
+        let named: Vec<HostId> = if whole {
+            self.hosts.keys().cloned().collect()
+        } else {
+            entries.iter().map(|entry| entry.host.clone()).collect()
+        };
+        self.tell(now, News::Listed { whole, entries });
+        let over = |host: HostId| {
+            let link = self.hosts.get(&host)?;
+            let gone = link.state == HostState::Gone;
+            (gone || link.born > 0).then_some((host, if gone { Micros::MAX } else { link.born }))
+        };
+        let lost: Vec<(HostId, Micros)> = named.into_iter().filter_map(over).collect();
+        for (host, before) in lost {
+            self.lose(now, &host, before);
+        }
+    }
+
+    pub(super) fn update_hosts(
+        &mut self,
+        now: Micros,
+        whole: bool,
+        hosts: Vec<Listed>,
+    ) -> Vec<anisehead::Entry> {
+        let mut touched: Vec<HostId> = Vec::with_capacity(hosts.len());
+        if whole {
+            let named: std::collections::BTreeSet<&HostId> = hosts.iter().map(|h| &h.entry.host).collect();
+            for (host, link) in self.hosts.iter_mut().filter(|(host, _)| !named.contains(host)) {
+                link.state = HostState::Gone;
+                touched.push(host.clone());
+            }
+        }
+        let mut entries = Vec::with_capacity(hosts.len());
+        for listed in hosts {
+            let link = self.hosts.entry(listed.entry.host.clone()).or_insert_with(|| Link::new(&listed));
+            let Listed { entry, dial } = listed;
+            (link.state, link.cell, link.born) = (entry.state, entry.cell, entry.ready_at);
+            (link.zone, link.free) = (entry.zone, [entry.free_cores, entry.free_memory]);
+            if dial.is_some() && link.dial != dial {
+                link.dial = dial;
+                link.conns().for_each(|conn| conn.stop(End::HostGone));
+            }
+            touched.push(entry.host.clone());
+            entries.push(entry);
+        }
+        self.in_use = self.hosts.values().filter(|link| link.state != HostState::Gone).count();
+        self.share_out();
+        for host in &touched {
+            let Some(link) = self.hosts.get(host) else { continue };
+            if link.state == HostState::Gone {
+                // A gone host's address may be a new host's: nothing more is to reach the old one there.
+                link.conns().for_each(|conn| conn.stop(End::HostGone));
+                self.pool.forget(host);
+            } else if matches!(link.phase, Phase::Down) && link.failures == 0 {
+                self.call(now, host);
+            }
+        }
+        entries
+    }
+
+    // ---- Connections ----
+
+    /// Starts to connect, beside what is up, if anything is.
+    fn dial(&mut self, now: Micros, host: &HostId) {
+        let Some(link) = self.hosts.get_mut(host) else { return };
+        let Some(address) = link.dial else { return };
+        let Some(shared) = self.tasks.shared.upgrade() else { return };
+        let (stop, stopped) = async_channel::bounded(1);
+        if let Phase::Up(conn) = std::mem::replace(&mut link.phase, Phase::Connecting(stop)) {
+            link.doubted.push((link.round, conn));
+        }
+        link.doubt = false;
+        link.round += 1;
+        link.dialled = now;
+        let round = link.round;
+        self.pool.taken(now, (host.clone(), round));
+        self.wheel.add(now + self.connect_timeout, Due::Connect(host.clone(), round));
+        self.tasks.spawn(hosts::serve(host.clone(), round, address, stopped, shared));
+        self.settle(now, host, false);
+    }
+
+    /// The connection is up; false if it is not wanted any more.
+    pub fn host_up(&mut self, host: &HostId, round: Round, conn: Rc<Conn>) -> bool {
+        let now = self.clock.now();
+        let Some(link) = self.hosts.get_mut(host) else { return false };
+        if link.round != round || !matches!(link.phase, Phase::Connecting(_)) {
+            return false;
+        }
+        link.unsent.retain(|line| !conn.send(now, line));
+        link.phase = Phase::Up(conn);
+        (link.failures, link.down_since, link.heard) = (0, None, now);
+        self.send_waiting(now, host);
+        true
+    }
+
+    /// The connection was not made: what waited for it never ran.
+    pub fn host_unmade(&mut self, host: &HostId, round: Round, why: Unmade) {
+        let now = self.clock.now();
+        let Some(link) = self.hosts.get_mut(host) else { return };
+        if link.round != round || !matches!(link.phase, Phase::Connecting(_)) {
+            return;
+        }
+        link.phase = Phase::Down;
+        let waiting = std::mem::take(&mut link.waiting);
+        if link.state != HostState::Gone {
+            self.wheel.add(now + link.pause(), Due::Redial(host.clone(), round));
+        }
+        if why == Unmade::NoDescriptor {
+            // Nothing of it is the host's.
+            info!(peer = "host", host = &*host.0, connection = round, reason = %why, "connection ended");
+            return self.never_ran(now, waiting, Outcome::Moot);
+        }
+        link.refused = why == Unmade::Refused;
+        link.failures = link.failures.saturating_add(1);
+        let down_since = *link.down_since.get_or_insert(now);
+        let first = link.failures == 1;
+        if first {
+            info!(peer = "host", host = &*host.0, connection = round, reason = %why, "connection ended");
+        }
+        self.never_ran(now, waiting, Outcome::ConnectFailed);
+        // A refused connection proves that the process is gone, and its tasks with it, unless it is heard
+        // on another. One that never comes up proves nothing, until it has lasted.
+        let Some(link) = self.hosts.get(host) else { return };
+        let silent = link.heard <= link.dialled;
+        if silent && (why == Unmade::Refused || now - down_since >= UNREACHED) {
+            link.conns().for_each(|conn| conn.stop(End::Silent));
+            self.lose(now, host, Micros::MAX);
+        }
+        if first {
+            self.doubt_cell(now, host);
+        }
+    }
+
+    /// Guards against machines of a cell that died together: where nothing is out on a connection its
+    /// end may go unheard, and what stands there would be lost only when the feed tells.
+    fn doubt_cell(&mut self, now: Micros, failed: &HostId) {
+        let Some(cell) = self.hosts.get(failed).map(|link| link.cell) else { return };
+        let others = self.hosts.iter().filter(|(host, link)| *host != failed && link.cell == cell);
+        let others: Vec<HostId> = others.map(|(host, _)| host.clone()).collect();
+        others.iter().for_each(|host| self.doubt(now, host));
+    }
+
+    /// Makes another connection beside the one that is up.
+    fn doubt(&mut self, now: Micros, host: &HostId) {
+        let Some(link) = self.hosts.get_mut(host) else { return };
+        if let Phase::Up(_) = &link.phase {
+            link.doubt = true;
+            self.call(now, host);
+        }
+    }
+
+    /// An offer is out and its host has said nothing since. Guards against a machine that vanished: its
+    /// connection stays open and silent. Another is made beside it, so that later offers don't vanish
+    /// too; where none comes up either, what stands there is lost. Offers stay out on the silent one.
+    pub(super) fn doubt_silent(&mut self, now: Micros, ticket: Ticket, attempt: u32) {
+        let Some(Request { state: State::Out { attempt: n, host, since, round, .. }, .. }) =
+            self.requests.get(&ticket)
+        else {
+            return;
+        };
+        let host = host.clone();
+        let Some(link) = self.hosts.get(&host) else { return };
+        if *n == attempt && *round == Some(link.round) && link.heard < *since {
+            self.doubt(now, &host);
+        }
+    }
+
+    /// Offers that waited for a connection in vain.
+    fn never_ran(&mut self, now: Micros, waiting: Vec<(Ticket, u32)>, outcome: Outcome) {
+        for (ticket, attempt) in waiting {
+            let request = self.requests.get(&ticket);
+            if request.is_some_and(|r| matches!(r.state, State::Out { attempt: n, .. } if n == attempt)) {
+                let news = self.end_attempt(now, ticket, outcome, Detail::None);
+                news.into_iter().for_each(|news| self.tell(now, news));
+            }
+        }
+    }
+
+    /// The connection has ended: what was offered on it may have run. What stands there still does.
+    pub fn host_ended(&mut self, host: &HostId, round: Round, end: End) {
+        let now = self.clock.now();
+        let on = |ticket: &Ticket| self.requests.get(ticket).and_then(|r| r.state.out_on()) == Some(round);
+        let cut: Vec<Ticket> = self.at_hosts.out(host).filter(on).collect();
+        let out = cut.len();
+        info!(peer = "host", host = &*host.0, connection = round, reason = %end, out, "connection ended");
+        let Some(link) = self.hosts.get_mut(host) else { return };
+        link.doubted.retain(|(r, _)| *r != round);
+        if link.round == round {
+            link.phase = Phase::Down;
+            link.closed = now;
+            if link.state == HostState::Gone {
+                let waiting = std::mem::take(&mut link.waiting);
+                self.never_ran(now, waiting, Outcome::ConnectFailed);
+            } else if end != End::Crowded || self.need(host) >= Some(Want::Release) {
+                self.call(now, host);
+            }
+        }
+        for ticket in cut {
+            let news = self.end_attempt(now, ticket, Outcome::Reset, Detail::None);
+            news.into_iter().for_each(|news| self.tell(now, news));
+        }
+    }
+
+    /// Ends connections that are stuck, and the oldest replaced ones on which no offer is out. The latest
+    /// stay: the host may have words under way on them, and closes them itself when they idle. Then calls
+    /// the hosts that have had no connection for a while: those where tasks stand, and the others while
+    /// there is room.
+    pub(super) fn sweep_links(&mut self, now: Micros) {
+        // Guards against hosts that come and go all day.
+        self.hosts.retain(|_, link| !link.over());
+        for (host, link) in &self.hosts {
+            // Guards also against an answer that stops short: nothing after it can be read.
+            link.conns().for_each(|conn| {
+                conn.end_if_stuck(now, STUCK);
+                conn.end_if_half(HALF);
+            });
+            for (round, conn) in link.doubted.iter().rev().skip(MOST_DOUBTED) {
+                let on = |ticket| self.requests.get(&ticket).and_then(|r: &Request| r.state.out_on());
+                if !self.at_hosts.out(host).any(|ticket| on(ticket) == Some(*round)) {
+                    conn.stop(End::Replaced);
+                }
+            }
+        }
+        let down = |host: &HostId| {
+            let link = self.hosts.get(host)?;
+            (matches!(link.phase, Phase::Down) && link.failures == 0).then_some(link)
+        };
+        let unvisited = |host: &&HostId| down(host).is_some_and(|link| now - link.closed >= VISIT);
+        let mut calls: Vec<HostId> = self.at_hosts.hosts().filter(unvisited).cloned().collect();
+        if self.pool.spacious() {
+            calls.extend(self.hosts.keys().filter(|host| down(host).is_some()).cloned());
+        }
+        calls.iter().for_each(|host| self.call(now, host));
+        self.make_way(now);
+    }
+}
--- a/src/net/hosts.rs
+++ b/src/net/hosts.rs
@@ -9,6 +9,7 @@
 use async_channel::Sender;
 use async_io::Async;
 use futures_lite::future;
+use rustix::io::Errno;
 use std::io::ErrorKind;
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
@@ -17,6 +18,9 @@
 const FIRST_PAUSE: Micros = 50_000;
 const LAST_PAUSE: Micros = 800_000;
 
+/// What the system says where the process or the machine has no descriptor left.
+const NO_DESCRIPTOR: [i32; 2] = [Errno::MFILE.raw_os_error(), Errno::NFILE.raw_os_error()];
+
 /// Numbers the connections to one host.
 pub type Round = u64;
 
@@ -54,6 +58,10 @@
     /// When the host was last heard, and last called.
     pub heard: Micros,
     pub dialled: Micros,
+    /// When the latest connection ended.
+    pub closed: Micros,
+    /// Another connection is to be made beside the one that is up.
+    pub doubt: bool,
     /// Offers that wait for the connection.
     pub waiting: Vec<(Ticket, u32)>,
     /// Releases of tasks that stand there, for the next connection.
@@ -82,6 +90,8 @@
             doubted: Vec::new(),
             heard: 0,
             dialled: 0,
+            closed: 0,
+            doubt: false,
             waiting: Vec::new(),
             unsent: Vec::new(),
             failures: 0,
@@ -126,6 +136,8 @@
     Refused,
     /// It never came up.
     TimedOut,
+    /// This process has no descriptor left for it: nothing is known of the host.
+    NoDescriptor,
     /// Something here or on the way failed.
     Failed(ErrorKind),
 }
@@ -135,18 +147,30 @@
         match self {
             Unmade::Refused => f.write_str("unmade:refused"),
             Unmade::TimedOut => f.write_str("unmade:timed-out"),
+            Unmade::NoDescriptor => f.write_str("unmade:no-descriptor"),
             Unmade::Failed(kind) => write!(f, "unmade:{kind}"),
         }
     }
 }
 
-/// Connects to a host and serves the connection until it ends.
+/// Connects to a host and serves the connection until it ends and its descriptor is given back.
 pub async fn serve(
     host: HostId,
     round: Round,
     address: SocketAddr,
     stop: async_channel::Receiver<()>,
     shared: Shared,
+) {
+    connected(&host, round, address, stop, &shared).await;
+    shared.borrow_mut().slot_freed(&host, round);
+}
+
+async fn connected(
+    host: &HostId,
+    round: Round,
+    address: SocketAddr,
+    stop: async_channel::Receiver<()>,
+    shared: &Shared,
 ) {
     let connect = async { Some(Async::<TcpStream>::connect(address).await) };
     let given_up = async {
@@ -157,29 +181,30 @@
         Some(Ok(stream)) => stream,
         Some(Err(e)) => {
             let why = match e.kind() {
+                _ if e.raw_os_error().is_some_and(|e| NO_DESCRIPTOR.contains(&e)) => Unmade::NoDescriptor,
                 ErrorKind::ConnectionRefused => Unmade::Refused,
                 ErrorKind::TimedOut | ErrorKind::HostUnreachable => Unmade::TimedOut,
                 kind => Unmade::Failed(kind),
             };
-            return shared.borrow_mut().host_unmade(&host, round, why);
+            return shared.borrow_mut().host_unmade(host, round, why);
         }
         None => return,
     };
     let conn = Rc::new(Conn::new(stream));
-    if !shared.borrow_mut().host_up(&host, round, conn.clone()) {
+    if !shared.borrow_mut().host_up(host, round, conn.clone()) {
         return;
     }
     let end = conn
         .run(|inbox| {
             while let Some(mut line) = next_line(inbox, MOST_BYTES).map_err(End::Malformed)? {
                 let (task, word) = lines::read(&mut line).map_err(End::Malformed)?;
-                shared.borrow_mut().host_word(&host, task, word);
+                shared.borrow_mut().host_word(host, task, word);
             }
             Ok(())
         })
         .await;
     conn.stop(end);
-    shared.borrow_mut().host_ended(&host, round, end);
+    shared.borrow_mut().host_ended(host, round, end);
 }
 
 #[cfg(test)]
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -41,13 +41,14 @@
     async_io::block_on(executor.run(async {
         // The known hosts are taken in before anyone can connect: a test that passes means ready.
         shared.borrow_mut().start();
-        let listener = Async::<TcpListener>::bind(listen);
-        let listener = listener.map_err(|e| io::Error::new(e.kind(), format!("listen: {listen}: {e}")))?;
         health::open(&operator.health, &executor, &shared)?;
         if let Some(socket) = &operator.ctl {
             let orders = ctl::open(socket, &executor, &shared)?;
             shared.borrow_mut().orders = Some(orders);
         }
+        // Last: whoever can connect finds all else open.
+        let listener = Async::<TcpListener>::bind(listen);
+        let listener = listener.map_err(|e| io::Error::new(e.kind(), format!("listen: {listen}: {e}")))?;
         executor.spawn(owners::accept(listener, shared.clone())).detach();
         let (moves, moved) = async_channel::unbounded();
         executor.spawn(feed::follow(feed, known_to, moved, shared.clone())).detach();
--- a/src/net/owners.rs
+++ b/src/net/owners.rs
@@ -258,9 +258,14 @@
         first.map(|owner| owner.conn.stop(End::Crowded)).is_some()
     }
 
-    /// How many connections there may be with so many hosts listed.
+    /// How the descriptors are shared out with so many hosts listed.
+    pub fn shares(&self, hosts: usize) -> Shares {
+        Shares::of(self.sockets, self.apart, hosts)
+    }
+
+    /// How many connections there may be then.
     pub fn budget(&self, hosts: usize) -> usize {
-        Shares::of(self.sockets, self.apart, hosts).owners
+        self.shares(hosts).owners
     }
 
     /// How many there are.
