Hosts are called when something is wanted of them, where connections have a price

Cause: update_hosts called every host that is listed, and each failed call was repeated for ever (Due::Redial), whether or not a task stood there or was offered. Change: Settings::price_handshake; where it is over 0 there are no warm calls. A failed host of which nothing is wanted is not called again, and what was found out about it is forgotten.

--- a/src/interface.rs
+++ b/src/interface.rs
@@ -239,6 +239,8 @@
     pub price_refused: f64,
     /// For one move a task.
     pub price_moves: f64,
+    /// For one new connection to a host for each task.
+    pub price_handshake: f64,
 }
 
 /// State of a host in the list.
@@ -569,6 +571,7 @@
             price_fleet: 0.2,
             price_refused: 0.02,
             price_moves: 0.08,
+            price_handshake: 0.0,
         }
     }
 }
--- a/src/net/dispatch.rs
+++ b/src/net/dispatch.rs
@@ -148,6 +148,8 @@
     ended: BTreeMap<TaskId, Ended>,
     next: u64,
     connect_timeout: Micros,
+    /// Hosts are called before anything is wanted of them: where connections have no price.
+    warm: bool,
     known: Vec<FeedLine>,
     feed_up: bool,
     closing: Option<Micros>,
@@ -167,6 +169,7 @@
         let clock = Clock::default();
         let now = clock.now();
         let connect_timeout = config.settings.connect_timeout;
+        let warm = config.settings.price_handshake <= 0.0;
         let watch = operator.watches().then(|| Watch::new(operator, now));
         // The listeners, their connections, and those that are on their way out.
         let listeners = operator.health.agent.len() + operator.health.http.len();
@@ -189,6 +192,7 @@
             ended: BTreeMap::new(),
             next: 0,
             connect_timeout,
+            warm,
             known: config.known,
             feed_up: false,
             closing: None,
@@ -209,7 +213,7 @@
             let news = if i == 0 { News::Known(entries) } else { News::Listed { whole, entries } };
             self.tell(now, news);
         }
-        info!(name = self.name, hosts = self.hosts.len(), "serves");
+        info!(name = self.name, hosts = self.hosts.len(), warm = self.warm, "serves");
     }
 
     /// Takes over what the process may hold.
@@ -920,7 +924,7 @@
                 }
                 Due::Redial(host, round) => {
                     if self.hosts.get(&host).is_some_and(|link| link.round == round) {
-                        self.call(now, &host);
+                        self.redial(now, &host);
                     }
                 }
                 Due::Unreached(host, since) => self.lose_unreached(now, &host, since),
--- a/src/net/dispatch/links.rs
+++ b/src/net/dispatch/links.rs
@@ -42,7 +42,9 @@
         self.make_way(self.clock.now());
     }
 
-    /// What a connection to a host is wanted for, if one more is.
+    /// What a connection to a host is wanted for, if one more is. Guards against hundreds of placers that
+    /// call every host at their start, when each needs a few: where the settings price connections, a host
+    /// is called when something is wanted of it.
     fn need(&self, host: &HostId) -> Option<Want> {
         let link = self.hosts.get(host)?;
         let beside = match &link.phase {
@@ -60,7 +62,7 @@
         } else if self.at_hosts.standing(host).next().is_some() {
             Some(Want::Visit)
         } else {
-            (link.state == HostState::Up).then_some(Want::Warm)
+            (link.state == HostState::Up && self.warm).then_some(Want::Warm)
         }
     }
 
@@ -73,6 +75,17 @@
         self.make_way(now);
     }
 
+    /// Calls a host again that did not answer. Where nothing is wanted of it any more, what was found out
+    /// about it is forgotten.
+    pub(super) fn redial(&mut self, now: Micros, host: &HostId) {
+        if self.need(host).is_some() {
+            return self.call(now, host);
+        }
+        if let Some(link) = self.hosts.get_mut(host).filter(|link| matches!(link.phase, Phase::Down)) {
+            (link.failures, link.down_since) = (0, None);
+        }
+    }
+
     /// Closes connections that others need more, and calls what has a slot now.
     fn make_way(&mut self, now: Micros) {
         while let Some((host, round)) = self.pool.make_way(now) {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -277,6 +277,7 @@
         price_fleet: p.number_or("prices.fleet", 0.0)?,
         price_refused: p.number_or("family_info.no_price", 0.0)?,
         price_moves: p.number_or("prices.moves", 0.0)?,
+        price_handshake: p.number_or("prices.handshake", 0.0)?,
     };
     let names = Names { classes: class_names, tenants: tenant_names, kinds: kind_names, zones };
     Ok((settings, names))
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -133,3 +133,24 @@
     }
     assert!(fleet.program.exit().success());
 }
+
+// Hundreds of placers that call all hosts at their start, and again whenever one is lost, make more
+// connections than there are tasks; where the settings price these, a host is called for its first offer.
+#[test]
+fn where_connections_have_a_price_a_host_is_called_for_what_it_is_offered() {
+    let mut feed = Feed::new();
+    let hosts = [Host::new("h0", "north"), Host::new("h1", "south")];
+    let mut config = config(&feed, hosts.iter().map(|host| host.entry("up", 0)).collect());
+    config["prices"] = json!({ "fleet": 0.15, "moves": 0.07, "handshake": 0.05 });
+    let program = Program::start(&config);
+    feed.subscribed();
+    let mut owner = program.owner();
+    assert!(owner.test());
+    assert!(hosts.iter().all(|host| host.accept_within(QUIET / 2).is_none()));
+    owner.set_up(1, &QUICK);
+    let mut conn = until("a call", || hosts.iter().find_map(|host| host.accept_within(QUIET / 20)));
+    assert_eq!(conn.offer(), hex(1));
+    conn.up(&hex(1));
+    assert_eq!(owner.read().kind, 9);
+    assert!(hosts.iter().all(|host| host.accept_within(QUIET / 2).is_none()));
+}
