--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -141,7 +141,7 @@
     let mut feed = Feed::new();
     let hosts = [Host::new("h0", "north"), Host::new("h1", "south")];
     let mut config = config(&feed, hosts.iter().map(|host| host.entry("up", 0)).collect());
-    config["prices"] = json!({ "fleet": 0.15, "moves": 0.07, "handshake": 0.05 });
+    config["settings"]["prices"] = json!({ "fleet": 0.15, "moves": 0.07, "handshake": 0.05 });
     let program = Program::start(&config);
     feed.subscribed();
     let mut owner = program.owner();
