A list entry that can't be right is set aside; zones may be unstated or none

Change: such an entry is set aside with a log line 'entry set aside host="odd" reason=bad-field:dial', the others are taken. A zone that the settings do not state is one of its own, alike at every placer; zones and locality may be absent. limits.sockets under 32 is refused in one line that names it.

Tests: 1,024 hosts and placers with 256 descriptors, one entry bad and one zone unstated; fails with the guard taken out, as do the codec's and the configuration's. Module untouched. All tests of the package pass.

--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -3,6 +3,7 @@
 use super::codec::feed::{self, FeedLine};
 use super::codec::lines::number;
 use anisehead::Settings;
+use anisehead::descriptors::FEWEST_SOCKETS;
 use anisehead::settings::{self, Names};
 use simd_json::BorrowedValue;
 use simd_json::prelude::*;
@@ -113,6 +114,11 @@
         .map_err(|e| error(&format!("settings.{}", e.field), e.what))?;
     let known = value.get("known").ok_or_else(|| error("known", "missing"))?;
     let known_to = known.get_u64("n").ok_or_else(|| error("known.n", "missing"))?;
+    let limits = Limits::read(value.get("limits"));
+    if limits.sockets < FEWEST_SOCKETS {
+        let what = format!("{}, and {FEWEST_SOCKETS} are the fewest that serve anyone", limits.sockets);
+        return Err(error("limits.sockets", what));
+    }
     let events = known.get_array("events").ok_or_else(|| error("known.events", "missing"))?;
     let event = |e| feed::event(e, &names).map_err(|e| error("known.events", e));
     let known = events.iter().map(event).collect::<Result<_, _>>()?;
@@ -125,6 +131,6 @@
         names,
         known_to,
         known,
-        limits: Limits::read(value.get("limits")),
+        limits,
     })
 }
--- a/src/net/dispatch.rs
+++ b/src/net/dispatch.rs
@@ -208,6 +208,7 @@
         let now = self.clock.now();
         self.wheel.add(now + SWEEP, Due::Sweep);
         for (i, event) in std::mem::take(&mut self.known).into_iter().enumerate() {
+            self.name_aside(&event.aside);
             let Some((whole, hosts)) = event.members else { continue };
             let entries = self.update_hosts(now, whole, hosts);
             let news = if i == 0 { News::Known(entries) } else { News::Listed { whole, entries } };
@@ -216,6 +217,13 @@
         info!(name = self.name, hosts = self.hosts.len(), warm = self.warm, "serves");
     }
 
+    /// Names the entries of an event that can't be right.
+    pub fn name_aside(&self, aside: &[(String, Malformed)]) {
+        for (host, why) in aside {
+            warn!(host, reason = %why, "entry set aside");
+        }
+    }
+
     /// Takes over what the process may hold.
     pub fn limit(&mut self, limits: Limits) {
         self.owners.limit(limits.sockets);
--- a/src/net/feed.rs
+++ b/src/net/feed.rs
@@ -66,6 +66,7 @@
             let mut dispatch = shared.borrow_mut();
             let line = feed::read(&mut line, dispatch.names()).map_err(End::Malformed)?;
             told.set(told.get() + 1);
+            dispatch.name_aside(&line.aside);
             match line.members {
                 Some(_) if line.number <= *last => {}
                 Some((whole, hosts)) if whole || line.number == *last + 1 => {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -231,7 +231,8 @@
             memory: p.item_number("family_info.kind_memory", i)?,
         });
     }
-    let zones = p.names("zones")?;
+    // A deployment may have no zones.
+    let zones = if p.map.contains_key("zones") { p.names("zones")? } else { Vec::new() };
     let on_ask = p.one_of("membership_mode", &[("automatic", false), ("subscribe", true)])?;
     let report = if matches!(p.map.get("report.via").map(String::as_str), None | Some("off")) {
         Vec::new()
@@ -241,7 +242,7 @@
     let settings = Settings {
         me: p.count("me")?,
         placers: p.count("n_instances")?,
-        zone: index(&zones, p.get("locality")?).map(ZoneId),
+        zone: p.map.get("locality").and_then(|zone| index(&zones, zone)).map(ZoneId),
         tick: p.span("step")?,
         kinds,
         classes,
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -1,6 +1,6 @@
 //! The program among fleets that are large against what it may hold.
 
-use simd_json::json;
+use simd_json::{OwnedValue, json};
 use standin::live::{Books, Habits, LiveFeed, LiveHost};
 use standin::*;
 use std::io::{ErrorKind, Write};
@@ -154,3 +154,35 @@
     assert_eq!(owner.read().kind, 9);
     assert!(hosts.iter().all(|host| host.accept_within(QUIET / 2).is_none()));
 }
+
+// The operators' fleets may have hundreds of either; nothing here is bounded below 1,024, nor in the time
+// that a start takes. An entry that can't be right, and a zone that the settings do not state, stop nothing.
+#[test]
+fn a_thousand_placers_and_hosts_in_settings_and_list_are_taken_in() {
+    let feed = Feed::new();
+    let real = Host::new("real", "attic");
+    let mut hosts: Vec<OwnedValue> = (0..1_024)
+        .map(|n| {
+            json!({
+                "host": format!("s-{n:08x}"), "dial": format!("127.9.{}.{}:9", n / 250, n % 250 + 1), "site": "north",
+                "class": "plain", "block": n / 8, "health": "up", "share": 1, "born_ms": 0, "unasked": [-40, -80]
+            })
+        })
+        .collect();
+    hosts
+        .push(json!({ "host": "odd", "dial": "nowhere", "site": "north", "class": "plain", "health": "up" }));
+    hosts.push(real.entry("up", 0));
+    let mut config = deployment("n1023", 1_023, 1_024, &feed.address(), hosts);
+    config["settings"]["prices"] = json!({ "handshake": 0.05 });
+    config["limits"] = json!({ "cores": 1.0, "memory_mb": 48, "sockets": 256 });
+    let program = Program::start_with(&config, 256);
+    let mut owner = program.owner();
+    assert!(owner.test());
+    // Only the last host has room.
+    owner.set_up(1, &QUICK);
+    let mut conn = real.accept();
+    assert_eq!(conn.offer(), hex(1));
+    conn.up(&hex(1));
+    assert_eq!(owner.read().kind, 9);
+    program.logged("entry set aside host=\"odd\" reason=bad-field:dial");
+}
--- a/tests/placer.rs
+++ b/tests/placer.rs
@@ -419,6 +419,7 @@
         (&good.replace("\"drain_grace\"", "\"drain\""), "settings.rules.drain_grace"),
         (&good.replace("\"safe\"", "\"sage\""), "settings.services.0.semantics"),
         (&good.replace("\"events\"", "\"event\""), "known.events"),
+        (&good.replace("\"sockets\":1024", "\"sockets\":31"), "limits.sockets"),
     ];
     for (text, field) in cases {
         let (failed, said) = refuses(text);
