--- /dev/null
+++ b/benches/fleet.rs
@@ -0,0 +1,94 @@
+//! What the size of the fleet costs: memory, and CPU of an owner's connection that comes and goes, of a task that
+//! is placed and of an event of the feed, among 10, 100, 400 and 1,000 hosts, each with a program of its own.
+//!
+//! `cargo bench --bench fleet`; `ANISEHEAD_BIN` names another version's program to hold against it.
+
+use simd_json::{OwnedValue, json};
+use standin::live::{Books, Habits, LiveFeed, LiveHost};
+use standin::{Ask, Launch, Program, deployment, until};
+use std::net::{TcpListener, TcpStream};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+const TIMES: u32 = 400;
+const EVENTS: u32 = 200;
+/// Hosts with room; the others are full, and take connections and nothing else.
+const ROOMY: usize = 4;
+
+fn memory_kb(program: &Program) -> u64 {
+    let status = std::fs::read_to_string(format!("/proc/{}/status", program.id())).expect("a process");
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:")).expect("a figure");
+    line.split_whitespace().next().and_then(|n| n.parse().ok()).expect("a figure")
+}
+
+/// CPU of the placer for each of so many, in microseconds.
+fn each(program: &Program, count: u32, act: impl FnOnce()) -> f64 {
+    let before = program.cpu();
+    act();
+    (program.cpu() - before).as_secs_f64() * 1e6 / f64::from(count)
+}
+
+/// A full host's entry.
+fn full(n: usize, address: &str, cores: i32) -> OwnedValue {
+    json!({
+        "host": format!("f{n}"), "dial": address, "site": "south", "class": "plain", "block": n / 8,
+        "health": "up", "share": 1, "born_ms": 0, "unasked": [cores, -80]
+    })
+}
+
+fn main() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("an address").to_string();
+    std::thread::spawn(move || {
+        let mut held: Vec<TcpStream> = Vec::new();
+        held.extend(listener.incoming().flatten());
+    });
+    println!("{:>6} {:>10} {:>13} {:>9} {:>10}", "hosts", "memory", "a connection", "a task", "an event");
+    for count in [10, 100, 400, 1_000] {
+        let books: Arc<Mutex<Books>> = Arc::default();
+        let habits = Habits { start: Duration::from_millis(1), life: Duration::from_secs(2), room: 100_000 };
+        let live = |n: usize| LiveHost::start(&format!("h{n}"), "north", habits.clone(), books.clone());
+        let hosts: Vec<LiveHost> = (0..ROOMY).map(live).collect();
+        let feed = LiveFeed::start();
+        let entries = hosts.iter().map(|host| host.entry("up"));
+        let entries = entries.chain((ROOMY..count).map(|n| full(n, &address, -40))).collect();
+        let mut config = deployment("n0", 0, 1, &feed.address(), entries);
+        config["limits"] = json!({ "cores": 1.0, "memory_mb": 192, "sockets": 8_192 });
+        let program = Launch::new(&config).descriptors(8_192).start();
+        let mut owner = program.owner();
+        assert!(owner.test());
+        std::thread::sleep(Duration::from_secs(2));
+        let connection = each(&program, TIMES, || {
+            (0..TIMES).for_each(|_| assert!(program.owner().test()));
+        });
+        let task = each(&program, TIMES, || {
+            for id in 1..=u64::from(TIMES) {
+                owner.set_up(id, &Ask { class: "quick", wait_ms: 6_000, service: id, at: None });
+                loop {
+                    let message = owner.read();
+                    match (message.kind, message.id == id) {
+                        (9, true) => break,
+                        (12, _) => owner.heard(message.id),
+                        other => panic!("{other:?}"),
+                    }
+                }
+            }
+        });
+        until("the tasks have ended", || {
+            while let Ok(Some(message)) = owner.message_within(Duration::from_millis(5)) {
+                owner.heard(message.id);
+            }
+            let books = books.lock().expect("books");
+            books.starts.last().is_none_or(|last| last.at.elapsed() > Duration::from_secs(4)).then_some(())
+        });
+        let event = each(&program, EVENTS, || {
+            for n in 0..EVENTS {
+                feed.tell(vec![full(ROOMY + n as usize % (count - ROOMY), &address, -40 - (n % 7) as i32)]);
+                std::thread::sleep(Duration::from_millis(4));
+            }
+            std::thread::sleep(Duration::from_millis(300));
+        });
+        let memory = memory_kb(&program);
+        println!("{count:>6} {memory:>7} kB {connection:>10.0} us {task:>6.0} us {event:>7.0} us");
+    }
+}
