The benches and the keeper read a placer's memory, descriptors and CPU by one piece

Cause: benches/fleet.rs repeated memory_kb and each of benches/standing.rs, and Program the keeper's readers of /proc. The benches were built, not run.

--- a/benches/fleet.rs
+++ b/benches/fleet.rs
@@ -5,7 +5,7 @@
 
 use simd_json::{OwnedValue, json};
 use standin::live::{Books, Habits, LiveFeed, LiveHost};
-use standin::{Ask, Launch, Program, deployment, until};
+use standin::{Ask, Launch, deployment, until};
 use std::net::{TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -15,19 +15,6 @@
 /// Hosts with room; the others are full, and take connections and nothing else.
 const ROOMY: usize = 4;
 
-fn memory_kb(program: &Program) -> u64 {
-    let status = std::fs::read_to_string(format!("/proc/{}/status", program.id())).expect("a process");
-    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:")).expect("a figure");
-    line.split_whitespace().next().and_then(|n| n.parse().ok()).expect("a figure")
-}
-
-/// CPU of the placer for each of so many, in microseconds.
-fn each(program: &Program, count: u32, act: impl FnOnce()) -> f64 {
-    let before = program.cpu();
-    act();
-    (program.cpu() - before).as_secs_f64() * 1e6 / f64::from(count)
-}
-
 /// A full host's entry.
 fn full(n: usize, address: &str, cores: i32) -> OwnedValue {
     json!({
@@ -58,10 +45,10 @@
         let mut owner = program.owner();
         assert!(owner.test());
         std::thread::sleep(Duration::from_secs(2));
-        let connection = each(&program, TIMES, || {
+        let connection = program.cpu_each(TIMES, || {
             (0..TIMES).for_each(|_| assert!(program.owner().test()));
         });
-        let task = each(&program, TIMES, || {
+        let task = program.cpu_each(TIMES, || {
             for id in 1..=u64::from(TIMES) {
                 owner.set_up(id, &Ask { class: "quick", wait_ms: 6_000, service: id, at: None });
                 loop {
@@ -81,14 +68,14 @@
             let books = books.lock().expect("books");
             books.starts.last().is_none_or(|last| last.at.elapsed() > Duration::from_secs(4)).then_some(())
         });
-        let event = each(&program, EVENTS, || {
+        let event = program.cpu_each(EVENTS, || {
             for n in 0..EVENTS {
                 feed.tell(vec![full(ROOMY + n as usize % (count - ROOMY), &address, -40 - (n % 7) as i32)]);
                 std::thread::sleep(Duration::from_millis(4));
             }
             std::thread::sleep(Duration::from_millis(300));
         });
-        let memory = memory_kb(&program);
+        let memory = program.memory_kb();
         println!("{count:>6} {memory:>7} kB {connection:>10.0} us {task:>6.0} us {event:>7.0} us");
     }
 }
--- a/benches/standing.rs
+++ b/benches/standing.rs
@@ -4,26 +4,13 @@
 //! `cargo bench --bench standing`
 
 use standin::live::{Books, Habits, LiveFeed, LiveHost};
-use standin::{Ask, Launch, Program, deployment, until};
+use standin::{Ask, Launch, deployment, until};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 const CONNECTIONS: u32 = 3_000;
 const TASKS: u32 = 3_000;
 
-fn memory_kb(program: &Program) -> u64 {
-    let status = std::fs::read_to_string(format!("/proc/{}/status", program.id())).expect("a process");
-    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:")).expect("a figure");
-    line.split_whitespace().next().and_then(|n| n.parse().ok()).expect("a figure")
-}
-
-/// CPU of the placer for each of so many.
-fn each(program: &Program, count: u32, mut act: impl FnMut(u32)) -> f64 {
-    let before = program.cpu();
-    (0..count).for_each(&mut act);
-    (program.cpu() - before).as_secs_f64() * 1e6 / f64::from(count)
-}
-
 fn main() {
     let books: Arc<Mutex<Books>> = Arc::default();
     let habits = Habits { start: Duration::from_millis(1), life: Duration::from_secs(2), room: 100_000 };
@@ -42,23 +29,27 @@
             owner.set_up(stand, &Ask { class: "quick", wait_ms: 0, service: stand, at: Some("h0") });
         }
         assert!(owner.test());
-        let connection = each(&program, CONNECTIONS, |_| {
-            let mut owner = program.owner();
-            assert!(owner.test());
+        let connection = program.cpu_each(CONNECTIONS, || {
+            (0..CONNECTIONS).for_each(|_| {
+                let mut owner = program.owner();
+                assert!(owner.test());
+            })
         });
-        let task = each(&program, TASKS, |_| {
-            id += 1;
-            owner.set_up(id, &Ask { class: "quick", wait_ms: 6_000, service: id, at: None });
-            loop {
-                let message = owner.read();
-                match (message.kind, message.id == id) {
-                    (9, true) => break,
-                    (12, _) => owner.heard(message.id),
-                    other => panic!("{other:?}"),
+        let task = program.cpu_each(TASKS, || {
+            (0..TASKS).for_each(|_| {
+                id += 1;
+                owner.set_up(id, &Ask { class: "quick", wait_ms: 6_000, service: id, at: None });
+                loop {
+                    let message = owner.read();
+                    match (message.kind, message.id == id) {
+                        (9, true) => break,
+                        (12, _) => owner.heard(message.id),
+                        other => panic!("{other:?}"),
+                    }
                 }
-            }
+            })
         });
-        let memory = memory_kb(&program);
+        let memory = program.memory_kb();
         println!("{target:>9} {:>7} kB {connection:>13.0} us {task:>9.0} us", memory);
         until("the tasks of the measurement have ended", || {
             std::thread::sleep(Duration::from_millis(100));
--- a/crates/standin/src/keeper.rs
+++ b/crates/standin/src/keeper.rs
@@ -263,17 +263,17 @@
     }
 }
 
-fn resident_kb(pid: u32) -> u64 {
+pub(crate) fn resident_kb(pid: u32) -> u64 {
     let status = std::fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
     let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
     line.and_then(|l| l.split_whitespace().next()).and_then(|n| n.parse().ok()).unwrap_or(0)
 }
 
-fn descriptors(pid: u32) -> usize {
+pub(crate) fn descriptors(pid: u32) -> usize {
     std::fs::read_dir(format!("/proc/{pid}/fd")).map_or(0, Iterator::count)
 }
 
-fn cpu(pid: u32) -> Duration {
+pub(crate) fn cpu(pid: u32) -> Duration {
     let text = std::fs::read_to_string(format!("/proc/{pid}/stat")).unwrap_or_default();
     let after = text.rsplit_once(')').map_or("", |(_, after)| after);
     let ticks = |n: usize| after.split_whitespace().nth(n).and_then(|t| t.parse::<u64>().ok()).unwrap_or(0);
--- a/crates/standin/src/program.rs
+++ b/crates/standin/src/program.rs
@@ -1,6 +1,6 @@
 //! The program under test.
 
-use crate::{LIMIT, Owner, until};
+use crate::{LIMIT, Owner, keeper, until};
 use simd_json::OwnedValue;
 use simd_json::prelude::*;
 use std::fs::File;
@@ -152,17 +152,24 @@
 
     /// Descriptors that it holds.
     pub fn descriptors(&self) -> usize {
-        let open = std::fs::read_dir(format!("/proc/{}/fd", self.child.id()));
-        open.expect("a process").count()
+        keeper::descriptors(self.id())
+    }
+
+    /// Memory that it holds, in kB.
+    pub fn memory_kb(&self) -> u64 {
+        keeper::resident_kb(self.id())
     }
 
     /// Time that it has spent on a core.
     pub fn cpu(&self) -> Duration {
-        let text = std::fs::read_to_string(format!("/proc/{}/stat", self.child.id())).expect("a process");
-        let after = text.rsplit_once(')').map_or("", |(_, after)| after);
-        let ticks =
-            |n: usize| after.split_whitespace().nth(n).and_then(|t| t.parse::<u64>().ok()).unwrap_or(0);
-        Duration::from_millis(10 * (ticks(11) + ticks(12)))
+        keeper::cpu(self.id())
+    }
+
+    /// The same for each of so many that `act` does, in microseconds.
+    pub fn cpu_each(&self, count: u32, act: impl FnOnce()) -> f64 {
+        let before = self.cpu();
+        act();
+        (self.cpu() - before).as_secs_f64() * 1e6 / f64::from(count)
     }
 
     /// What it has logged so far.
