Calls, figures and drains for operators; words on tasks are kept from fronts that only test

Change: a listener for calls (`src/net/admin.rs`, one line each, eight places, the quietest caller makes room), the words, the counts and the duty of a process as modules without I/O (`src/operation`), `avoided` in the module for hosts_excluded. A drain says no at once, keeps connections until the front has heard and what crossed has come, then closes those that carry no task. Cause: Owners::opened wrote ends of tasks that nobody could be told to whatever connection opened next (owners.rs, `unsent`), so the front got these in place of its result, never saw a yes again, and the ends were lost (260 lost, placer never put back). Now they wait for a connection on which something came that only owners send. Ruled out: late replies (calls 4, 0 late), the duty (phase "serving" in the log at 8.62 s).

--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod live;
 pub mod machine;
 pub mod notes;
+pub mod operator;
 mod owner;
 mod program;
 pub mod site;
--- a/crates/standin/src/program.rs
+++ b/crates/standin/src/program.rs
@@ -4,7 +4,8 @@
 use simd_json::OwnedValue;
 use simd_json::prelude::*;
 use std::fs::File;
-use std::net::{SocketAddr, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::fd::OwnedFd;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Output, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -36,6 +37,7 @@
     args: Vec<String>,
     env: Vec<(String, String)>,
     log: Option<Stdio>,
+    inherited: Option<TcpListener>,
 }
 
 impl Launch {
@@ -51,8 +53,8 @@
         let path = scratch("json");
         std::fs::write(&path, config).expect("a temporary file");
         let files = vec![path.clone()];
-        let (args, env, log) = (Vec::new(), Vec::new(), None);
-        Launch { config: path, address: None, files, descriptors: 1_024, args, env, log }
+        let (args, env, log, inherited) = (Vec::new(), Vec::new(), None, None);
+        Launch { config: path, address: None, files, descriptors: 1_024, args, env, log, inherited }
     }
 
     /// With so many descriptors.
@@ -76,6 +78,18 @@
         self
     }
 
+    /// With this in its environment.
+    pub fn env(mut self, name: &str, value: &str) -> Launch {
+        self.env.push((name.to_string(), value.to_string()));
+        self
+    }
+
+    /// With this listening socket as its descriptor 5, as the platform hands it to every process of a placer.
+    pub fn inherits(mut self, listener: &TcpListener) -> Launch {
+        self.inherited = Some(listener.try_clone().expect("a descriptor"));
+        self.env("LB_ACCEPT_FD", "5")
+    }
+
     /// With its log going there instead of to a file of the test.
     pub fn log_to(mut self, log: Stdio) -> Launch {
         self.log = Some(log);
@@ -84,7 +98,12 @@
 
     fn command(&self) -> Command {
         let mut command = Command::new("sh");
-        command.args(["-c", &format!("ulimit -n {}; exec \"$0\" \"$@\"", self.descriptors)]);
+        let inherited = if self.inherited.is_some() { " 5<&0 </dev/null" } else { "" };
+        let run = format!("ulimit -n {}; exec \"$0\" \"$@\"{inherited}", self.descriptors);
+        command.args(["-c", &run]);
+        if let Some(listener) = &self.inherited {
+            command.stdin(OwnedFd::from(listener.try_clone().expect("a descriptor")));
+        }
         command.arg(binary()).args(&self.args).env("LB_CONFIG", &self.config);
         command.envs(self.env.iter().map(|(name, value)| (name, value)));
         command
--- a/src/facade.rs
+++ b/src/facade.rs
@@ -217,10 +217,19 @@
         &self.names
     }
 
+    /// The place of a class among those that the settings name.
+    pub fn class(&self, class: &str) -> Option<usize> {
+        self.names.classes.iter().position(|name| name == class)
+    }
+
     /// The aim of a class, as the settings name it.
     pub fn aim(&self, class: &str) -> Option<Micros> {
-        let class = self.names.classes.iter().position(|name| name == class)?;
-        self.most.get(class).map(|most| most.aim)
+        self.most.get(self.class(class)?).map(|most| most.aim)
+    }
+
+    /// Listed machines that get no offers now, whatever is asked: they drain, or are shut after failures.
+    pub fn avoided(&self) -> usize {
+        self.placer.avoided()
     }
 
     /// Cores and memory of an ordinary task, where the list shows what hosts have left.
@@ -312,7 +321,7 @@
     /// Whether the settings leave any sense to an ask. Guards the module's picture of load and of healthy
     /// machines against asks that every machine must turn away. One that stands already waits for nothing.
     pub fn check(&self, ask: &Ask, stands: bool) -> Result<(), Unfit> {
-        let class = self.names.classes.iter().position(|n| *n == ask.class);
+        let class = self.class(&ask.class);
         let Some(Most { deadline, size, .. }) = class.and_then(|class| self.most.get(class)) else {
             return Err(Unfit("unknown class"));
         };
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod health;
 mod interface;
 mod ledger;
+pub mod operation;
 pub mod overload;
 mod policy;
 pub mod settings;
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -17,6 +17,8 @@
     pub name: String,
     /// Where owners connect.
     pub listen: SocketAddr,
+    /// Where operators call, if anywhere.
+    pub admin: Option<SocketAddr>,
     /// The control feed.
     pub feed: SocketAddr,
     /// Seed of the random numbers.
@@ -41,6 +43,7 @@
         [
             ("name", self.name.clone()),
             ("listen", self.listen.to_string()),
+            ("admin", self.admin.map_or_else(|| "none".to_string(), |admin| admin.to_string())),
             ("feed", self.feed.to_string()),
             ("seed", format!("{:016x}", self.seed)),
             ("known.n", self.known_to.to_string()),
@@ -99,7 +102,13 @@
     let path = path.ok_or_else(|| error("LB_CONFIG", "names no file, nor does --config"))?;
     let read = std::fs::read(path);
     let mut text = read.map_err(|e| error("LB_CONFIG", format_args!("{}: {e}", path.display())))?;
-    parse(&mut text)
+    let mut config = parse(&mut text)?;
+    // A second process of this placer is told another address, on the same file.
+    if let Some(named) = std::env::var_os("LB_ADMIN").filter(|named| !named.is_empty()) {
+        let named = named.to_string_lossy().into_owned();
+        config.admin = Some(named.parse().map_err(|e| error("LB_ADMIN", format_args!("{named}: {e}")))?);
+    }
+    Ok(config)
 }
 
 fn parse(text: &mut [u8]) -> Result<Config, ConfigError> {
@@ -109,6 +118,10 @@
     }
     let text = |field: &str| value.get_str(field).ok_or_else(|| error(field, "missing"));
     let address = |field: &str| text(field)?.parse().map_err(|e| error(field, e));
+    let admin = match value.get_str("admin") {
+        Some("") | None => None,
+        Some(_) => Some(address("admin")?),
+    };
     let stated = value.get("settings").ok_or_else(|| error("settings", "missing"))?;
     let (settings, names) = settings::read(&settings::flatten(stated))
         .map_err(|e| error(&format!("settings.{}", e.field), e.what))?;
@@ -125,6 +138,7 @@
     Ok(Config {
         name: text("name")?.to_string(),
         listen: address("listen")?,
+        admin,
         feed: address("feed")?,
         seed: u64::from_str_radix(text("seed")?, 16).map_err(|e| error("seed", e))?,
         settings,
--- a/src/net/dispatch.rs
+++ b/src/net/dispatch.rs
@@ -6,7 +6,9 @@
 mod at_hosts;
 mod bounds;
 mod links;
+mod operating;
 
+use super::admin;
 use super::clock::Clock;
 use super::codec::binary::{self, OwnerWord};
 use super::codec::feed::FeedLine;
@@ -25,6 +27,8 @@
 use anisehead::facade::{Facade, News, Ticket, Unfit, Verdict};
 use anisehead::health::drain::Hand;
 use anisehead::health::{Event, Gauges, Zone};
+use anisehead::operation::duty::{self, Duty, Phase as Service};
+use anisehead::operation::tally::{Ended as Told, Tally};
 use anisehead::settings::Names;
 use anisehead::{Detail, HostId, HostState, Micros, Outcome};
 use async_executor::LocalExecutor;
@@ -115,6 +119,8 @@
     set_up: Option<Box<SetUp>>,
     attempts: u32,
     state: State,
+    /// Its class, if the settings state it.
+    class: Option<usize>,
     /// When it came, and the aim of its class.
     since: Micros,
     aim: Micros,
@@ -160,9 +166,15 @@
     /// The connections of balancers.
     pub(super) gate: Rc<Gate>,
     /// And of operators.
-    pub(super) orders: Option<Rc<Gate>>,
+    pub(super) orders: Vec<Rc<Gate>>,
     /// A drain is over.
     drained: bool,
+    /// Whether this process takes requests, by the platform's orders.
+    duty: Duty,
+    /// What it has done.
+    pub(super) tally: Tally,
+    /// Owners can connect.
+    pub(super) listens: bool,
     /// What of the engine of overloads was logged.
     logged: bounds::Logged,
 }
@@ -178,7 +190,9 @@
         // The listeners, their connections, and those that are on their way out.
         let listeners = operator.health.agent.len() + operator.health.http.len();
         let polls = if operator.health.listens() { operator.health.connections + 4 } else { 0 };
-        let apart = listeners + polls + if operator.ctl.is_some() { 6 } else { 0 };
+        let calls = if config.admin.is_some() { admin::MOST + 1 } else { 0 };
+        let apart = listeners + polls + calls + if operator.ctl.is_some() { 6 } else { 0 };
+        let tally = Tally::new(config.names.classes.len());
         conn::bound_queues(config.limits.memory / QUEUES);
         Dispatch {
             clock,
@@ -209,7 +223,10 @@
             closing: None,
             watch,
             gate: Rc::new(Gate::new(operator.health.connections)),
-            orders: None,
+            orders: Vec::new(),
+            duty: Duty::default(),
+            tally,
+            listens: false,
             drained: false,
             logged: bounds::Logged::default(),
         }
@@ -270,11 +287,9 @@
                 Verdict::Offer { ticket, host, timeout } => self.offer(now, ticket, host, timeout),
                 Verdict::Refuse { ticket, retry_after } => {
                     let away = u64::try_from(retry_after / MILLI).ok().filter(|ms| *ms > 0);
-                    self.answer(now, ticket, |id| binary::release(id, cause::REFUSED, away))
-                }
-                Verdict::Fail { ticket } => {
-                    self.answer(now, ticket, |id| binary::release(id, cause::FAILED, None))
+                    self.answer(now, ticket, cause::REFUSED, away)
                 }
+                Verdict::Fail { ticket } => self.answer(now, ticket, cause::FAILED, None),
                 Verdict::Move { ticket } => {
                     self.move_away(now, ticket);
                     None
@@ -326,6 +341,7 @@
             let (true, Some(set_up)) = (*n == attempt, &request.set_up) else { continue };
             let Some(line) = offer_line(request.id, set_up, *until - now) else { continue };
             if conn.send(now, &line) {
+                self.tally.offered(request.class);
                 *round = Some(link.round);
                 self.wheel.add(now + DOUBT, Due::Doubt(ticket, attempt));
             } else {
@@ -368,13 +384,15 @@
     }
 
     /// The final answer: the only place that gives a refusal or a failure.
-    fn answer(&mut self, now: Micros, ticket: Ticket, word: impl Fn(TaskId) -> Vec<u8>) -> Option<News> {
+    fn answer(&mut self, now: Micros, ticket: Ticket, cause: u8, away: Option<u64>) -> Option<News> {
         let news = self.give_up(now, ticket, None, Outcome::Cancelled);
         if self.requests.get(&ticket).is_some_and(|r| r.state == State::Held) {
             self.watch(now, Event::Answered { in_aim: false });
             let request = self.remove(ticket)?;
             if let Some(owner) = request.owner {
-                self.owners.send(now, owner, &word(request.id));
+                let how = if cause == cause::REFUSED { Told::Refused } else { Told::Failed };
+                self.tally.ended(request.class, how);
+                self.owners.send(now, owner, &binary::release(request.id, cause, away));
                 self.owners.settled(owner, ticket);
             }
         }
@@ -495,8 +513,7 @@
 
     /// A connection from an owner is there.
     pub fn owner_opened(&mut self, conn: Rc<Conn>) -> OwnerId {
-        let now = self.clock.now();
-        self.owners.opened(now, conn)
+        self.owners.opened(self.clock.now(), conn)
     }
 
     /// It has ended, and with it the set-ups that are open on it.
@@ -532,6 +549,9 @@
     pub fn owner_word(&mut self, owner: OwnerId, id: TaskId, word: OwnerWord) {
         let now = self.clock.now();
         self.owners.heard(now, owner, true, false);
+        if !matches!(word, OwnerWord::Test) {
+            self.owners.asked(now, owner);
+        }
         let held = self.by_id.get(&id).copied();
         match word {
             OwnerWord::SetUp(set_up) => match (&set_up.at, held) {
@@ -547,8 +567,9 @@
             OwnerWord::BadSetUp(_) => self.owners.stop(owner, End::IdInUse),
             OwnerWord::Release(cause) => self.owner_release(now, owner, id, cause, held),
             OwnerWord::Test => {
-                let passes = self.closing.is_none() && self.watch.as_ref().is_none_or(Watch::serves);
+                let passes = self.serves();
                 self.owners.send(now, owner, &binary::tested(id, passes));
+                self.on_duty(now, duty::Event::Asked);
             }
             OwnerWord::Heard => self.owners.heard_end(id),
             OwnerWord::Other => self.owners.stop(owner, End::Malformed(Malformed::Field("type"))),
@@ -576,7 +597,9 @@
         if let Some(host) = state.at() {
             self.at_hosts.came(ticket, host, state.stands());
         }
-        let request = Request { id, owner, set_up: None, attempts: 0, state, since: now, aim, home: None };
+        let class = self.facade.class(class);
+        let (set_up, home) = (None, None);
+        let request = Request { id, owner, set_up, attempts: 0, state, class, since: now, aim, home };
         self.requests.insert(ticket, request);
         ticket
     }
@@ -596,6 +619,7 @@
         };
         if let Some(why) = unfit {
             info!(task = %id, reason = why, "not placed");
+            self.tally.ended(self.facade.class(&ask.class), Told::Failed);
             return self.owners.send(now, owner, &binary::release(id, cause::FAILED, None));
         }
         let ticket = self.take(now, id, owner, &ask.class, State::Held);
@@ -710,10 +734,11 @@
                 request.set_up = None;
                 let (stretch, in_aim) =
                     (elapsed as f64 / request.aim as f64, now - request.since <= request.aim);
-                let owner = request.owner.take();
+                let (owner, class) = (request.owner.take(), request.class);
                 self.enter(ticket, State::Standing { attempt, host: host.clone(), since: now });
                 self.settle(now, host, true);
                 if let Some(owner) = owner {
+                    self.tally.ended(class, Told::Served);
                     self.owners.send(now, owner, &binary::answer(id, &description));
                     self.owners.settled(owner, ticket);
                     self.owners.prove(owner);
@@ -734,7 +759,7 @@
                 let (attempt, host, elapsed, outcome) = (*attempt, host.clone(), now - since, Outcome::Ok);
                 self.enter(ticket, State::Held);
                 self.settle(now, &host, true);
-                self.answer(now, ticket, |id| binary::release(id, cause::NORMAL, None));
+                self.answer(now, ticket, cause::NORMAL, None);
                 self.tell(now, News::Ended { ticket, attempt, host, outcome, detail, elapsed });
             }
             (State::Out { host: h, .. }, HostWord::Down(cause, detail)) if h == host => {
@@ -827,7 +852,9 @@
     fn follow(&mut self, now: Micros, tasks: Vec<Task>) {
         for task in tasks {
             match task {
-                Task::CloseIdle(close) => self.owners.close_idle(close),
+                Task::CloseIdle(close) => {
+                    self.owners.close_idle(close || self.duty.phase() == Service::Emptying)
+                }
                 Task::Answer(within) => self.close_down(now, within),
                 Task::Exit(left) => {
                     self.drained = true;
@@ -840,7 +867,7 @@
     /// Who is owed what, for a drain.
     fn hand(&self) -> Hand {
         let now = self.clock.now();
-        let owed = self.requests.values().filter(|r| r.owes()).count();
+        let owed = self.owed();
         Hand {
             owed,
             standing: self.requests.len() - owed,
@@ -927,6 +954,7 @@
     pub fn tick(&mut self) {
         let now = self.clock.now();
         self.watch(now, Event::Turn);
+        self.on_duty(now, duty::Event::Look);
         for due in self.wheel.due(now) {
             match due {
                 Due::Attempt(ticket, attempt) => {
--- a/src/net/health/mod.rs
+++ b/src/net/health/mod.rs
@@ -122,7 +122,7 @@
 
 /// Ends our side, and reads off what still comes: closing on unread input would reset the connection and
 /// could take the answer along.
-async fn farewell(stream: &Async<TcpStream>) {
+pub async fn farewell(stream: &Async<TcpStream>) {
     let _ = stream.get_ref().shutdown(Shutdown::Write);
     let (mut stream, mut scratch, mut count) = (stream, [0; CHUNK], 0);
     while let Ok(n) = stream.read(&mut scratch).await {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,5 +1,6 @@
 //! The network side: one thread, one local executor, and [`dispatch::Dispatch`] in the middle.
 
+mod admin;
 mod clock;
 mod codec;
 pub mod config;
@@ -34,7 +35,7 @@
 pub fn serve(config: Config, path: Option<PathBuf>, operator: Operator) -> io::Result<()> {
     let executor = Rc::new(LocalExecutor::new());
     let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])?;
-    let (listen, feed, known_to) = (config.listen, config.feed, config.known_to);
+    let (listen, admin, feed, known_to) = (config.listen, config.admin, config.feed, config.known_to);
     let shared: Shared = Rc::new_cyclic(|me| {
         RefCell::new(Dispatch::new(config, &operator, dispatch::Tasks::new(me.clone(), executor.clone())))
     });
@@ -44,13 +45,18 @@
         health::open(&operator.health, &executor, &shared)?;
         if let Some(socket) = &operator.ctl {
             let orders = ctl::open(socket, &executor, &shared)?;
-            shared.borrow_mut().orders = Some(orders);
+            shared.borrow_mut().orders.push(orders);
+        }
+        if let Some(address) = admin {
+            let calls = admin::open(address, &executor, &shared)?;
+            shared.borrow_mut().orders.push(calls);
         }
         // Last: whoever can connect finds all else open.
         let listener = owners::listen(listen);
         let listener = listener.map_err(|e| io::Error::new(e.kind(), format!("listen: {listen}: {e}")))?;
         let listener = Rc::new(listener);
         executor.spawn(owners::accept(listener.clone(), shared.clone())).detach();
+        shared.borrow_mut().listens = true;
         let (moves, moved) = async_channel::unbounded();
         executor.spawn(feed::follow(feed, known_to, moved, shared.clone())).detach();
         let signalled = shared.clone();
--- a/src/net/owners.rs
+++ b/src/net/owners.rs
@@ -58,6 +58,8 @@
     half_since: Option<Micros>,
     /// A whole message has come.
     spoken: bool,
+    /// One has come that only owners send: it is no front's that does nothing but test.
+    asks: bool,
     /// A task stands that was set up or named on it.
     proven: bool,
     /// Tasks that stand and were set up or named on it.
@@ -75,7 +77,7 @@
 pub struct Owners {
     all: BTreeMap<OwnerId, Owner>,
     next: u64,
-    /// Words on tasks that stood, for the next connection to open.
+    /// Words on tasks that stood, for the next connection of an owner.
     unsent: Vec<(TaskId, Vec<u8>)>,
     /// The same, sent and not heard yet.
     told: BTreeMap<TaskId, Told>,
@@ -101,6 +103,26 @@
         self.close_idle = close;
     }
 
+    /// Closes the connections that carry no task, where that is wanted: neither an answer nor the end of a task
+    /// is owed on them. Guards against a close that takes a word along: nothing may be half said, unsent or
+    /// unread, one that has just come has its first message still before it, and the end of a task that was told
+    /// just now is told again elsewhere if it goes unheard.
+    pub fn close_spare(&self, now: Micros) {
+        if !self.close_idle {
+            return;
+        }
+        let spare = |o: &Owner| o.open.is_empty() && o.stand == 0 && !o.conn.stopping();
+        let told: BTreeSet<OwnerId> =
+            self.told.values().filter(|told| now - told.since < YOUNG).map(|told| told.owner).collect();
+        for (_, owner) in self.all.iter().filter(|(id, owner)| spare(owner) && !told.contains(id)) {
+            let young = !owner.spoken && now - owner.heard < YOUNG;
+            let half = owner.spoken && owner.half_since.is_some();
+            if !young && !half && owner.conn.flushed() && owner.conn.quiet() {
+                owner.conn.stop(End::Draining);
+            }
+        }
+    }
+
     /// A task that was set up or named on it stands, or no longer does.
     pub fn count_standing(&mut self, id: OwnerId, stands: bool) {
         if let Some(owner) = self.all.get_mut(&id) {
@@ -123,18 +145,21 @@
         self.sockets = sockets;
     }
 
-    /// Takes in a connection, and tells it what found no other.
+    /// Takes in a connection.
     pub fn opened(&mut self, now: Micros, conn: Rc<Conn>) -> OwnerId {
         let id = OwnerId(self.next);
         self.next += 1;
-        let (half_since, spoken, proven) = (Some(now), false, false);
-        self.all.insert(
-            id,
-            Owner { conn, open: BTreeSet::new(), heard: now, half_since, spoken, proven, stand: 0 },
-        );
-        for (task, bytes) in std::mem::take(&mut self.unsent) {
-            self.send_any(now, task, bytes);
-        }
+        let owner = Owner {
+            conn,
+            open: BTreeSet::new(),
+            heard: now,
+            half_since: Some(now),
+            spoken: false,
+            asks: false,
+            proven: false,
+            stand: 0,
+        };
+        self.all.insert(id, owner);
         id
     }
 
@@ -151,6 +176,17 @@
         open
     }
 
+    /// What only owners send came in on it: it is told what found no other. Guards the words on ended tasks
+    /// against fronts, which test on connections of their own and read nothing but the result.
+    pub fn asked(&mut self, now: Micros, id: OwnerId) {
+        let first = self.all.get_mut(&id).is_some_and(|owner| !std::mem::replace(&mut owner.asks, true));
+        if first {
+            for (task, bytes) in std::mem::take(&mut self.unsent) {
+                self.send_any(now, task, bytes);
+            }
+        }
+    }
+
     /// Whole messages came in on it, and whether half of another did.
     pub fn heard(&mut self, now: Micros, id: OwnerId, whole: bool, half: bool) {
         if let Some(owner) = self.all.get_mut(&id) {
@@ -218,10 +254,10 @@
 
     /// Writes what concerns a task that stood. It belongs to no connection: of those that have had tasks
     /// placed, the one heard last is the least likely to be closing under our hands, or to be no owner at
-    /// all. With none open the next to open is told.
+    /// all. With none open the next that asks is told.
     pub fn send_any(&mut self, now: Micros, task: TaskId, bytes: Vec<u8>) {
         loop {
-            let live = self.all.iter().filter(|(_, o)| !o.conn.stopping() && (o.spoken || o.heard == now));
+            let live = self.all.iter().filter(|(_, o)| !o.conn.stopping() && o.asks);
             match live.max_by_key(|(_, o)| (o.proven, !o.open.is_empty(), o.heard)) {
                 None => return self.unsent.push((task, bytes)),
                 Some((id, owner)) if owner.conn.send(now, &bytes) => {
@@ -244,12 +280,8 @@
             if owner.open.is_empty() && owner.half_since.is_some_and(|since| now - since > UNSPOKEN) {
                 owner.conn.stop(End::Unspoken);
             }
-            // Neither an answer nor the end of a task is owed on it. One that has just come may have a
-            // set-up on its way.
-            if self.close_idle && owner.open.is_empty() && owner.stand == 0 && now - owner.heard > YOUNG {
-                owner.conn.stop(End::Draining);
-            }
         }
+        self.close_spare(now);
         self.told.retain(|_, told| now - told.since < UNHEARD);
     }
 
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -242,6 +242,12 @@
         self.health.of(at, scope).is_some_and(|h| h.on_trial || self.now < h.until)
     }
 
+    /// Listed machines that get no offers now, whatever the task: draining, or shut as a whole.
+    pub fn avoided(&self) -> usize {
+        let listed = self.fleet.machines.iter().enumerate().filter(|(_, m)| m.state != HostState::Gone);
+        listed.filter(|(at, m)| m.state != HostState::Up || self.shut(*at, Scope::Machine)).count()
+    }
+
     fn just_started(&self, at: Place) -> bool {
         self.fleet.machines[at].started_at.is_some_and(|t| self.now - t < self.window)
     }
--- /dev/null
+++ b/tests/operating.rs
@@ -0,0 +1,170 @@
+//! The real program as operators and the platform run it day by day: calls, figures, drains.
+
+use simd_json::prelude::*;
+use simd_json::{OwnedValue, json};
+use standin::operator::Calls;
+use standin::*;
+use std::io::Write;
+use std::time::{Duration, Instant};
+
+/// A program that takes calls, with its hosts.
+fn start_with_calls(hosts: usize) -> (Program, Calls, Feed, Vec<Host>, Vec<HostConn>) {
+    let mut feed = Feed::new();
+    let hosts: Vec<Host> = (0..hosts).map(|n| Host::new(&format!("h{n}"), "north")).collect();
+    let (config, calls) = with_calls(config(&feed, hosts.iter().map(|h| h.entry("up", 0)).collect()));
+    let program = Program::start(&config);
+    assert_eq!(feed.subscribed(), 1);
+    feed.tell(&json!({ "n": 1 }));
+    let conns = hosts.iter().map(Host::accept).collect();
+    (program, calls, feed, hosts, conns)
+}
+
+fn with_calls(mut config: OwnedValue) -> (OwnedValue, Calls) {
+    let address = free_address();
+    config.insert("admin", address.to_string()).expect("an object");
+    (config, Calls(address))
+}
+
+// ---- Calls ----
+
+#[test]
+fn calls_are_answered_beside_callers_that_say_half_a_line() {
+    let (_program, calls, _feed, _hosts, _conns) = start_with_calls(1);
+    until("it serves", || calls.check().then_some(()));
+    for (line, begins) in [("checks", "fail "), ("", "fail "), ("drain-off", "ok\n"), ("check", "ok\n")] {
+        assert!(calls.call(line).starts_with(begins), "{line:?}: {:?}", calls.call(line));
+    }
+    assert!(calls.call(&"x".repeat(4_096)).starts_with("fail "));
+    // Three times as many as there are places.
+    let mut halves: Vec<_> = (0..24).map(|_| calls.connect()).collect();
+    halves.iter_mut().for_each(|half| half.write_all(b"che").expect("it reads"));
+    for _ in 0..10 {
+        let asked = Instant::now();
+        assert!(calls.check());
+        assert!(asked.elapsed() < Duration::from_secs(1), "{:?}", asked.elapsed());
+    }
+}
+
+#[test]
+fn an_address_in_the_environment_goes_before_the_configuration() {
+    let feed = Feed::new();
+    let (config, first) = with_calls(config(&feed, Vec::new()));
+    let second = Calls(free_address());
+    let program = Launch::new(&config).env("LB_ADMIN", &second.0.to_string()).start();
+    until("it serves", || second.check().then_some(()));
+    assert!(std::net::TcpStream::connect(first.0).is_err(), "{}", program.log());
+    let out = Launch::new(&config).env("LB_ADMIN", "nowhere").output();
+    let said = String::from_utf8_lossy(&out.stderr).into_owned();
+    assert!(!out.status.success() && said.contains("LB_ADMIN: nowhere"), "{said}");
+}
+
+// ---- Figures ----
+
+#[test]
+fn figures_tell_what_owners_were_told_and_what_is_in_hand() {
+    let (program, calls, mut feed, hosts, mut conns) = start_with_calls(2);
+    let mut owner = program.owner();
+    // Served at the second host; refused by both; failed without a host.
+    owner.set_up(1, &QUICK);
+    let (first, id) = offered(&mut conns);
+    conns[first].down(&id, 34, "nc");
+    let (second, _) = offered(&mut conns);
+    conns[second].up(&id);
+    assert_eq!(owner.read().kind, 9);
+    owner.set_up(4, &ONCE);
+    let (at, id) = offered(&mut conns);
+    owner.set_up(2, &Ask { wait_ms: 600, ..ONCE });
+    let mut attempts = 0;
+    let refusal = loop {
+        for conn in &mut conns {
+            if let Some(offer) = conn.read_within(Duration::from_millis(10)) {
+                conn.down(offer.get_str("ref").expect("an id"), 34, "nc");
+                attempts += 1;
+            }
+        }
+        if let Ok(message) = owner.message_within(Duration::from_millis(10)) {
+            break message.expect("an answer");
+        }
+    };
+    assert!(attempts > 0 && refusal.cause() == 42, "{attempts}: {refusal:?}");
+    owner.set_up(3, &Ask { wait_ms: 1_000_000, ..ONCE });
+    assert_eq!(owner.read().cause(), 47);
+    let figures = calls.figures();
+    let whole = |name: &str| figures.get_u64(name).unwrap_or_else(|| panic!("{name}: {figures}"));
+    assert_eq!((whole("in_flight"), whole("hosts_known"), whole("hosts_excluded")), (2, 2, 0));
+    let counts =
+        |class: &str| ["served", "refused", "failed", "attempts"].map(|what| calls.count(class, what));
+    assert_eq!((counts("quick"), counts("once")), ([1, 0, 0, 2], [0, 1, 1, attempts + 1]));
+    assert_eq!(whole("attempts"), attempts + 3);
+    conns[at].up(&id);
+    assert_eq!(owner.read().kind, 9);
+    // A host that drains is known, and avoided.
+    feed.event(2, &hosts[0], "draining");
+    until("it avoids one", || (calls.figures().get_u64("hosts_excluded") == Some(1)).then_some(()));
+    feed.event(3, &hosts[0], "removed");
+    until("it forgets it", || (calls.figures().get_u64("hosts_known") == Some(1)).then_some(()));
+    assert_eq!(calls.figures().get_u64("hosts_excluded"), Some(0));
+}
+
+// ---- Drains ----
+
+#[test]
+fn a_drain_empties_connections_without_turning_anything_away_and_is_taken_back() {
+    let (program, calls, _feed, _hosts, mut conns) = start_with_calls(1);
+    let (mut idle, mut stood, mut busy, mut half) =
+        (program.owner(), program.owner(), program.owner(), program.owner());
+    assert!(idle.test() && busy.test() && half.test());
+    stood.set_up(1, &QUICK);
+    let standing = conns[0].offer();
+    conns[0].up(&standing);
+    assert_eq!(stood.read().kind, 9);
+    busy.set_up(2, &ONCE);
+    let open = conns[0].offer();
+    let whole = bytes(52, 9, &[(171, &[0])]);
+    half.say(&whole[..5]);
+    assert!(calls.call("drain-on").starts_with("ok"));
+    assert!(!calls.check(), "from its first moment on");
+    // A connection that is new to it still gets its answer: the front may not have heard.
+    let mut late = program.owner();
+    assert!(!late.test());
+    late.set_up(3, &QUICK);
+    let crossed = conns[0].offer();
+    conns[0].down(&crossed, 16, "");
+    assert_eq!(late.read().cause(), 16);
+    // Those that carry nothing end, the others do not.
+    assert_eq!((idle.next_message(), late.next_message()), (None, None));
+    program.logged("phase=\"emptying\"");
+    conns[0].up(&open);
+    assert_eq!(busy.read().kind, 9);
+    conns[0].down(&open, 16, "");
+    assert_eq!(busy.read().kind, 12);
+    busy.heard(2);
+    assert_eq!(busy.next_message(), None);
+    half.say(&whole[5..]);
+    assert_eq!((half.read().kind, half.next_message()), (53, None));
+    conns[0].down(&standing, 16, "");
+    assert_eq!((stood.read().id, stood.next_message()), (1, None));
+    assert!(calls.call("drain-off").starts_with("ok") && calls.check());
+    let mut back = program.owner();
+    assert!(back.test() && back.test(), "it stays open");
+}
+
+#[test]
+fn the_end_of_a_task_is_told_to_the_next_owner_and_to_no_front() {
+    let (program, _feed, _hosts, mut conns) = start(1);
+    let mut owner = program.owner();
+    owner.set_up(1, &QUICK);
+    let id = conns[0].offer();
+    conns[0].up(&id);
+    assert_eq!(owner.read().kind, 9);
+    drop(owner);
+    program.logged("peer=\"owner\"");
+    conns[0].down(&id, 16, "");
+    conns[0].expect("ack");
+    let mut front = program.owner();
+    assert!(front.test() && front.test(), "nothing but results comes on it");
+    let mut next = program.owner();
+    next.set_up(2, &QUICK);
+    let end = next.read();
+    assert_eq!((end.kind, end.id, end.cause()), (12, 1, 16));
+}
--- a/tests/placer.rs
+++ b/tests/placer.rs
@@ -229,12 +229,12 @@
     conn.down(&hex(1), 41, "ev");
     conn.expect("ack");
     conn.expect("ack");
-    // With no owner connected the end waits for the next one, and comes once.
+    // With no owner connected the end waits for the next one that asks for anything, and comes once.
+    // An owner may end a task on any connection; the host's word then goes no further.
     let mut owner = program.owner();
+    owner.release(2, 31);
     let end = owner.read();
     assert_eq!((end.kind, end.id, end.cause()), (12, 1, 41));
-    // Its owner may end a task on any connection; the host's word then goes no further.
-    owner.release(2, 31);
     assert_eq!(owner.read().kind, 16);
     assert_eq!(conn.expect("down").get_u64("c"), Some(31));
     conn.down(&hex(2), 31, "");
