Upgrades: processes of one placer share an inherited socket, the old one leaves

Change: `src/net/inherit.rs` takes the socket named by LB_ACCEPT_FD; `Duty` gains the phase leaving (accepts nothing more, closes connections that carry no task, answers all in its own time, ends before the platform ends it); processes find each other over a Unix socket in $TMPDIR and keep to half of the descriptors and queues each while both live. A test with three processes.

--- a/src/facade.rs
+++ b/src/facade.rs
@@ -227,6 +227,11 @@
         self.most.get(self.class(class)?).map(|most| most.aim)
     }
 
+    /// The longest that an owner of any class waits.
+    pub fn longest(&self) -> Micros {
+        self.most.iter().map(|most| most.deadline).max().unwrap_or(0)
+    }
+
     /// Listed machines that get no offers now, whatever is asked: they drain, or are shut after failures.
     pub fn avoided(&self) -> usize {
         self.placer.avoided()
--- a/src/net/dispatch.rs
+++ b/src/net/dispatch.rs
@@ -27,7 +27,7 @@
 use anisehead::facade::{Facade, News, Ticket, Unfit, Verdict};
 use anisehead::health::drain::Hand;
 use anisehead::health::{Event, Gauges, Zone};
-use anisehead::operation::duty::{self, Duty, Phase as Service};
+use anisehead::operation::duty::{self, Duty};
 use anisehead::operation::tally::{Ended as Told, Tally};
 use anisehead::settings::Names;
 use anisehead::{Detail, HostId, HostState, Micros, Outcome};
@@ -173,6 +173,11 @@
     duty: Duty,
     /// What it has done.
     pub(super) tally: Tally,
+    /// What the placer may hold, and how many other processes of it hold a part of that.
+    limits: Limits,
+    others: usize,
+    /// The listening socket is the platform's, and other processes of this placer accept from it.
+    pub(super) inherits: bool,
     /// Owners can connect.
     pub(super) listens: bool,
     /// What of the engine of overloads was logged.
@@ -226,6 +231,9 @@
             orders: Vec::new(),
             duty: Duty::default(),
             tally,
+            limits: config.limits,
+            others: 0,
+            inherits: false,
             listens: false,
             drained: false,
             logged: bounds::Logged::default(),
@@ -255,9 +263,11 @@
 
     /// Takes over what the process may hold.
     pub fn limit(&mut self, limits: Limits) {
-        self.owners.limit(limits.sockets);
+        self.limits = limits;
+        let processes = 1 + self.others;
+        self.owners.limit(limits.sockets / processes);
         self.share_out();
-        conn::bound_queues(limits.memory / QUEUES);
+        conn::bound_queues(limits.memory / QUEUES / processes);
     }
 
     /// The names that the settings state.
@@ -567,7 +577,7 @@
             OwnerWord::BadSetUp(_) => self.owners.stop(owner, End::IdInUse),
             OwnerWord::Release(cause) => self.owner_release(now, owner, id, cause, held),
             OwnerWord::Test => {
-                let passes = self.serves();
+                let passes = self.placer_serves();
                 self.owners.send(now, owner, &binary::tested(id, passes));
                 self.on_duty(now, duty::Event::Asked);
             }
@@ -823,6 +833,7 @@
         let now = self.clock.now();
         match self.watch.as_mut().and_then(|watch| watch.terminate(now)) {
             Some(tasks) => self.follow(now, tasks),
+            None if self.inherits => self.on_duty(now, duty::Event::Leave(self.facade.longest())),
             None => self.close_down(now, CLOSE_ANSWER),
         }
     }
@@ -852,9 +863,7 @@
     fn follow(&mut self, now: Micros, tasks: Vec<Task>) {
         for task in tasks {
             match task {
-                Task::CloseIdle(close) => {
-                    self.owners.close_idle(close || self.duty.phase() == Service::Emptying)
-                }
+                Task::CloseIdle(close) => self.owners.close_idle(close || self.duty.empties()),
                 Task::Answer(within) => self.close_down(now, within),
                 Task::Exit(left) => {
                     self.drained = true;
@@ -932,7 +941,9 @@
 
     /// Whether the process must end, whatever is left.
     pub fn overdue(&self) -> bool {
-        self.drained || self.closing.is_some_and(|since| self.clock.now() - since >= CLOSE_END)
+        let now = self.clock.now();
+        let ends = |since| if self.duty.leaves() { self.duty.overdue(now) } else { now - since >= CLOSE_END };
+        self.drained || self.closing.is_some_and(ends)
     }
 
     /// Whether the process may end.
@@ -947,6 +958,9 @@
             return false;
         }
         let clear = !self.requests.values().any(Request::owes) && self.owners.flushed();
+        if self.duty.leaves() {
+            return (clear && self.owners.at_rest(now)) || self.duty.overdue(now);
+        }
         now - since >= CLOSE_END || (now - since >= CLOSE_OPEN && clear)
     }
 
--- a/src/net/dispatch/operating.rs
+++ b/src/net/dispatch/operating.rs
@@ -3,7 +3,7 @@
 use super::{Dispatch, Request};
 use crate::net::health::watch::Watch;
 use anisehead::Micros;
-use anisehead::operation::duty::{Effect, Event, Phase};
+use anisehead::operation::duty::{Effect, Event};
 use tracing::info;
 
 impl Dispatch {
@@ -13,6 +13,23 @@
         self.listens && !ends && self.duty.serves() && self.watch.as_ref().is_none_or(Watch::serves)
     }
 
+    /// Whether owners' tests pass: the placer serves, if not this process.
+    pub fn placer_serves(&self) -> bool {
+        self.duty.leaves() || self.serves()
+    }
+
+    /// Whether this process takes connections that wait to be accepted.
+    pub fn accepts(&self) -> bool {
+        !self.duty.leaves()
+    }
+
+    /// Another process of this placer lives, or has ended: they count as one, and share what one may hold.
+    pub fn beside(&mut self, lives: bool) {
+        self.others = if lives { self.others + 1 } else { self.others.saturating_sub(1) };
+        info!(others = self.others, "processes of this placer");
+        self.limit(self.limits);
+    }
+
     /// Requests taken whose answer is owed.
     pub fn owed(&self) -> usize {
         self.requests.values().filter(|r: &&Request| r.owes()).count()
@@ -31,13 +48,20 @@
     /// Something has happened that concerns whether this process takes requests.
     pub fn on_duty(&mut self, now: Micros, event: Event) {
         let before = self.duty.phase();
-        if let Some(Effect::Empty(empty)) = self.duty.handle(now, event) {
-            self.owners.close_idle(empty || self.watch.as_ref().is_some_and(Watch::draining));
+        match self.duty.handle(now, event) {
+            Some(Effect::Empty(empty)) => {
+                self.owners.close_idle(empty || self.watch.as_ref().is_some_and(Watch::draining));
+            }
+            Some(Effect::Leave(within)) => {
+                self.owners.close_idle(true);
+                self.close_down(now, within);
+            }
+            None => {}
         }
         if self.duty.phase() != before {
             info!(phase = self.duty.phase().as_str(), "duty");
         }
-        if self.duty.phase() == Phase::Emptying {
+        if self.duty.empties() {
             self.owners.close_spare(now);
         }
     }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -10,6 +10,7 @@
 mod feed;
 pub mod health;
 mod hosts;
+mod inherit;
 pub mod log;
 mod owners;
 mod wheel;
@@ -35,6 +36,7 @@
 pub fn serve(config: Config, path: Option<PathBuf>, operator: Operator) -> io::Result<()> {
     let executor = Rc::new(LocalExecutor::new());
     let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])?;
+    let name = config.name.clone();
     let (listen, admin, feed, known_to) = (config.listen, config.admin, config.feed, config.known_to);
     let shared: Shared = Rc::new_cyclic(|me| {
         RefCell::new(Dispatch::new(config, &operator, dispatch::Tasks::new(me.clone(), executor.clone())))
@@ -52,8 +54,16 @@
             shared.borrow_mut().orders.push(calls);
         }
         // Last: whoever can connect finds all else open.
-        let listener = owners::listen(listen);
-        let listener = listener.map_err(|e| io::Error::new(e.kind(), format!("listen: {listen}: {e}")))?;
+        let inherited = inherit::listener(listen)?;
+        if inherited.is_some() {
+            shared.borrow_mut().inherits = true;
+            inherit::meet(&name, &executor, &shared);
+        }
+        let listener = match inherited {
+            Some(listener) => listener,
+            None => owners::listen(listen)
+                .map_err(|e| io::Error::new(e.kind(), format!("listen: {listen}: {e}")))?,
+        };
         let listener = Rc::new(listener);
         executor.spawn(owners::accept(listener.clone(), shared.clone())).detach();
         shared.borrow_mut().listens = true;
--- a/src/net/owners.rs
+++ b/src/net/owners.rs
@@ -66,6 +66,15 @@
     stand: usize,
 }
 
+impl Owner {
+    /// Whether something is open, half said, unsent or unread on it, or may come on it just now.
+    fn busy(&self, now: Micros) -> bool {
+        let young = !self.spoken && now - self.heard < YOUNG;
+        let half = self.spoken && self.half_since.is_some();
+        !self.open.is_empty() || young || half || !self.conn.flushed() || !self.conn.quiet()
+    }
+}
+
 /// The end of a task as it was told, until its owner has heard it.
 struct Told {
     owner: OwnerId,
@@ -111,18 +120,20 @@
         if !self.close_idle {
             return;
         }
-        let spare = |o: &Owner| o.open.is_empty() && o.stand == 0 && !o.conn.stopping();
         let told: BTreeSet<OwnerId> =
             self.told.values().filter(|told| now - told.since < YOUNG).map(|told| told.owner).collect();
-        for (_, owner) in self.all.iter().filter(|(id, owner)| spare(owner) && !told.contains(id)) {
-            let young = !owner.spoken && now - owner.heard < YOUNG;
-            let half = owner.spoken && owner.half_since.is_some();
-            if !young && !half && owner.conn.flushed() && owner.conn.quiet() {
+        for (id, owner) in self.all.iter().filter(|(_, o)| o.stand == 0 && !o.conn.stopping()) {
+            if !told.contains(id) && !owner.busy(now) {
                 owner.conn.stop(End::Draining);
             }
         }
     }
 
+    /// Whether nothing is open, half said, unsent or unread on any.
+    pub fn at_rest(&self, now: Micros) -> bool {
+        self.all.values().all(|o| o.conn.stopping() || !o.busy(now))
+    }
+
     /// A task that was set up or named on it stands, or no longer does.
     pub fn count_standing(&mut self, id: OwnerId, stands: bool) {
         if let Some(owner) = self.all.get_mut(&id) {
@@ -351,6 +362,10 @@
             continue;
         }
         for turn in 0..ACCEPTS {
+            // What waits here from now on is another process's to take.
+            if !shared.borrow().accepts() {
+                return;
+            }
             // Room is made for one that is there, not for one that may come.
             if turn > 0 && shared.borrow().owner_crowds() {
                 break;
@@ -384,7 +399,8 @@
     if shared.borrow().overdue() {
         return false;
     }
-    take(listener, shared).is_ok() || !shared.borrow().owners.quiet()
+    let accepts = shared.borrow().accepts();
+    (accepts && take(listener, shared).is_ok()) || !shared.borrow().owners.quiet()
 }
 
 /// At the end of the process: all sides are closed for writing, and what peers still send is read off.
--- a/tests/operating.rs
+++ b/tests/operating.rs
@@ -5,6 +5,7 @@
 use standin::operator::Calls;
 use standin::*;
 use std::io::Write;
+use std::net::TcpListener;
 use std::time::{Duration, Instant};
 
 /// A program that takes calls, with its hosts.
@@ -168,3 +169,94 @@
     let end = next.read();
     assert_eq!((end.kind, end.id, end.cause()), (12, 1, 16));
 }
+
+// ---- Upgrades ----
+
+#[test]
+fn a_process_that_leaves_answers_what_it_has_taken_and_the_next_one_accepts_all_else() {
+    let (mut feed, hosts) = (Feed::new(), [Host::new("h0", "north")]);
+    let (config, calls) = with_calls(config(&feed, vec![hosts[0].entry("up", 0)]));
+    let listener = TcpListener::bind(free_address()).expect("a free port");
+    let address = listener.local_addr().expect("an address").to_string();
+    let mut config = config;
+    config.insert("listen", address).expect("an object");
+    let folder = tempfile::tempdir().expect("a folder");
+    let launch = |calls: &Calls| {
+        let launch = Launch::new(&config).inherits(&listener).env("LB_ADMIN", &calls.0.to_string());
+        launch.env("TMPDIR", &folder.path().to_string_lossy()).start()
+    };
+    let mut old = launch(&calls);
+    until("it serves", || calls.check().then_some(()));
+    assert_eq!(feed.subscribed(), 1);
+    feed.tell(&json!({ "n": 1 }));
+    let mut conn = hosts[0].accept();
+    let (mut stood, mut busy, mut idle) = (old.owner(), old.owner(), old.owner());
+    stood.set_up(1, &QUICK);
+    let standing = conn.offer();
+    conn.up(&standing);
+    assert_eq!(stood.read().kind, 9);
+    busy.set_up(2, &ONCE);
+    let open = conn.offer();
+    assert!(idle.test());
+
+    let second = Calls(free_address());
+    let mut new = launch(&second);
+    until("it serves", || second.check().then_some(()));
+    // Two processes count as one placer.
+    old.logged("others=1");
+    new.logged("others=1");
+    old.terminate();
+    old.logged("phase=\"leaving\"");
+    assert_eq!(idle.next_message(), None, "it carries no task");
+    assert!(stood.test(), "the placer serves");
+    assert!(!calls.check() && second.check(), "this process does not");
+    // Whoever comes now is the new one's.
+    let mut next_conn = hosts[0].accept();
+    let mut late = new.owner();
+    late.set_up(3, &Ask { service: 8, ..QUICK });
+    let id = next_conn.offer();
+    next_conn.up(&id);
+    assert_eq!((late.read().kind, late.test()), (9, true));
+    // What the old one has in hand is told on its connections.
+    conn.down(&standing, 16, "");
+    let end = stood.read();
+    assert_eq!((end.kind, end.id), (12, 1));
+    stood.heard(1);
+    assert!(old.runs(), "an answer is owed");
+    conn.up(&open);
+    assert_eq!(busy.read().kind, 9);
+    let ending = Instant::now();
+    assert!(old.exit().success());
+    assert!(
+        ending.elapsed() < Duration::from_secs(1),
+        "it ends once nothing is owed: {:?}",
+        ending.elapsed()
+    );
+    assert_eq!(busy.next_message(), None);
+    new.logged("others=0");
+    // What still stood is named to the new one.
+    late.set_up(2, &Ask { at: Some("h0"), ..ONCE });
+    assert!(late.test());
+    next_conn.down(&open, 16, "");
+    let end = late.read();
+    assert_eq!((end.kind, end.id), (12, 2));
+    // And the next upgrade finds it.
+    let third = Calls(free_address());
+    let last = launch(&third);
+    until("it serves", || third.check().then_some(()));
+    last.logged("others=1");
+    assert!(new.runs());
+}
+
+#[test]
+fn a_descriptor_that_is_no_listening_socket_is_named() {
+    let feed = Feed::new();
+    let (config, _) = with_calls(config(&feed, Vec::new()));
+    let listener = TcpListener::bind(free_address()).expect("a free port");
+    for (number, says) in [("5", "listens at"), ("4", "LB_ACCEPT_FD: 4: "), ("five", "LB_ACCEPT_FD: five: ")]
+    {
+        let out = Launch::new(&config).inherits(&listener).env("LB_ACCEPT_FD", number).output();
+        let said = String::from_utf8_lossy(&out.stderr).into_owned();
+        assert!(!out.status.success() && said.contains(says), "{number}: {said}");
+    }
+}
