Staff call a process by `anisehead call`; an address for calls that owners have is named

Need: the on-call page has to work on machines without other tools, and `admin` equal to `listen` ended the start with a bare "address in use". Nothing on the path of requests has changed.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -3,13 +3,23 @@
 use crate::ctl;
 use crate::net::{self, config, log};
 use crate::operator::{self, Loaded, LogFormat, LogLevel, Operator};
+use anisehead::operation::calls::Call;
+use clap::builder::PossibleValuesParser;
 use clap::{Args, CommandFactory, Parser, Subcommand};
-use std::io::Write;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
+use std::time::Duration;
 
 /// Exit code of `check` for files with errors, as of `clap` for words that can't be read.
 const BAD_INPUT: u8 = 2;
+/// Exit code of `call` where nobody answers.
+const UNANSWERED: u8 = 2;
+/// How long a process may take to take a call, and to answer it; it answers within a second.
+const CALL: Duration = Duration::from_secs(3);
+/// No reply is longer: figures of some hundred classes.
+const MOST_REPLY: u64 = 1024 * 1024;
 
 /// A task placer: takes tasks from owners, offers each to one host at a time, and answers exactly once.
 ///
@@ -54,6 +64,15 @@
     /// Give an order to a running placer, or ask how it is
     #[command(subcommand)]
     Ctl(CtlCommand),
+    /// Call a process of a placer where operators call, and print its reply
+    Call {
+        /// Its address, `admin` in its configuration
+        #[arg(long, value_name = "ADDRESS", env = "LB_ADMIN")]
+        at: SocketAddr,
+        /// The call
+        #[arg(value_parser = PossibleValuesParser::new(Call::ALL.map(|(word, _)| word)))]
+        call: String,
+    },
     /// Print completions for a shell
     Completions {
         /// The shell
@@ -103,6 +122,7 @@
             };
             ctl::send(order, target, cli.files.operator.as_deref(), json)
         }
+        Some(Command::Call { at, call }) => call_at(*at, call),
         Some(Command::Completions { shell }) => {
             clap_complete::generate(*shell, &mut Cli::command(), "anisehead", &mut std::io::stdout());
             ExitCode::SUCCESS
@@ -180,6 +200,29 @@
     code
 }
 
+/// Calls a process: 0 where it says yes or tells its figures, 1 where it says no.
+fn call_at(address: SocketAddr, call: &str) -> ExitCode {
+    let asked = || -> std::io::Result<String> {
+        let mut stream = TcpStream::connect_timeout(&address, CALL)?;
+        stream.set_read_timeout(Some(CALL))?;
+        stream.write_all(format!("{call}\n").as_bytes())?;
+        let mut reply = String::new();
+        stream.take(MOST_REPLY).read_to_string(&mut reply)?;
+        Ok(reply)
+    };
+    match asked() {
+        Ok(reply) if !reply.is_empty() => {
+            let _ = std::io::stdout().write_all(reply.as_bytes());
+            if reply.starts_with("fail") { ExitCode::FAILURE } else { ExitCode::SUCCESS }
+        }
+        answered => {
+            let why = answered.map_or_else(|e| e.to_string(), |_| "closed without a reply".to_string());
+            complain(&format!("anisehead: {address}: {why}"));
+            ExitCode::from(UNANSWERED)
+        }
+    }
+}
+
 fn check(cli: &Cli) -> ExitCode {
     let mut wrong = Vec::new();
     let config = match config::load(cli.files.config.as_deref()) {
@@ -237,12 +280,16 @@
             &["anisehead", "--operator", "f.toml", "check"],
             &["anisehead", "ctl", "state", "--json", "--socket", "/run/s"],
             &["anisehead", "completions", "bash"],
+            &["anisehead", "call", "--at", "127.0.0.1:9600", "drain-on"],
         ] {
             assert!(Cli::try_parse_from(words).is_ok(), "{words:?}");
         }
-        for words in
-            [&["anisehead", "sevre"][..], &["anisehead", "--log-level", "loud"], &["anisehead", "ctl"]]
-        {
+        for words in [
+            &["anisehead", "sevre"][..],
+            &["anisehead", "--log-level", "loud"],
+            &["anisehead", "ctl"],
+            &["anisehead", "call", "--at", "127.0.0.1:1", "drain"],
+        ] {
             assert!(Cli::try_parse_from(words).is_err(), "{words:?}");
         }
     }
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -106,7 +106,12 @@
     // A second process of this placer is told another address, on the same file.
     if let Some(named) = std::env::var_os("LB_ADMIN").filter(|named| !named.is_empty()) {
         let named = named.to_string_lossy().into_owned();
-        config.admin = Some(named.parse().map_err(|e| error("LB_ADMIN", format_args!("{named}: {e}")))?);
+        let parsed: SocketAddr =
+            named.parse().map_err(|e| error("LB_ADMIN", format_args!("{named}: {e}")))?;
+        config.admin = Some(parsed);
+    }
+    if config.admin == Some(config.listen) {
+        return Err(error("admin", format_args!("{} is where owners connect (listen)", config.listen)));
     }
     Ok(config)
 }
--- a/tests/operating.rs
+++ b/tests/operating.rs
@@ -59,6 +59,39 @@
     assert!(!out.status.success() && said.contains("LB_ADMIN: nowhere"), "{said}");
 }
 
+#[test]
+fn the_command_line_calls_a_process_and_answers_with_its_exit_code() {
+    let feed = Feed::new();
+    let (config, calls) = with_calls(config(&feed, Vec::new()));
+    let _program = Program::start(&config);
+    until("it serves", || calls.check().then_some(()));
+    let at = calls.0.to_string();
+    let nowhere = free_address().to_string();
+    for (at, call, code, says) in [
+        (&at, "check", 0, "ok\n"),
+        (&at, "drain-on", 0, "ok\n"),
+        (&at, "check", 1, "fail takes no requests\n"),
+        (&at, "vars", 0, "eof\n"),
+        (&nowhere, "check", 2, ""),
+        (&at, "explode", 2, ""),
+    ] {
+        let out = Launch::text("{}").args(&["call", "--at", at, call]).output();
+        let said = String::from_utf8_lossy(&out.stdout).into_owned();
+        assert_eq!(out.status.code(), Some(code), "{call}: {out:?}");
+        assert!(said.ends_with(says), "{call}: {said}");
+    }
+}
+
+#[test]
+fn an_address_for_calls_where_owners_connect_is_named() {
+    let feed = Feed::new();
+    let mut config = config(&feed, Vec::new());
+    let listen = config.get_str("listen").expect("an address").to_string();
+    config.insert("admin", listen).expect("an object");
+    let (refused, said) = refuses(&config.encode());
+    assert!(refused && said.contains("configuration: admin: "), "{said}");
+}
+
 // ---- Figures ----
 
 #[test]
