Links with faults between processes as lines of a plan; the audit knows what they held back

Need: what a fleet does when links fail could be played in simulated time only; `standin::link` had relays that no plan used. Change: `crates/load/src/network.rs` (parties, the links between them, their relays, when they are bad), seven kinds of faults, errors with place for what can't be meant; the director strikes them, each bad link is noted, and the audit excuses answers, ends, drains and attempts that waited on it, and nothing else. Hosts now listen at an address for each placer. Ruled out: the placer's redial (connection up within the second in which the link healed), the relay (its own tests).

--- a/crates/load/src/director.rs
+++ b/crates/load/src/director.rs
@@ -2,6 +2,7 @@
 //! director carries it out on a thread of its own, so that starting a process does not make the generator
 //! late.
 
+use crate::network::Network;
 use crate::plan::{FaultKind, Plan};
 use crate::shape::Micros;
 use standin::keeper::Keeper;
@@ -28,18 +29,20 @@
     Launch(usize),
     /// Its feed moves, and it is told.
     MoveFeed(usize),
+    /// A fault of links begins or ends, by its number in the plan.
+    Link(usize, bool),
 }
 
 /// The acts of a plan, in the order of their times.
 pub fn line(plan: &Plan) -> Vec<(Micros, Act)> {
     let mut acts = Vec::new();
-    for fault in &plan.faults {
+    for (number, fault) in plan.faults.iter().enumerate() {
         let length = micros(fault.length);
         for (place, target) in fault.targets().into_iter().enumerate() {
             for time in 0..fault.times {
                 let late = place as Micros * micros(fault.stagger) + 2 * Micros::from(time) * length;
                 let start = micros(fault.at) + late;
-                for (begins, ends) in both(fault.kind, target, plan) {
+                for (begins, ends) in both(fault.kind, target, number, plan) {
                     acts.push((start, begins));
                     if let Some(ends) = ends.filter(|_| length > 0) {
                         acts.push((start + length, ends));
@@ -57,7 +60,7 @@
 }
 
 /// What a fault begins with, and what ends it.
-fn both(kind: FaultKind, n: usize, plan: &Plan) -> Vec<(Act, Option<Act>)> {
+fn both(kind: FaultKind, n: usize, number: usize, plan: &Plan) -> Vec<(Act, Option<Act>)> {
     let host = |kind| {
         let (set, clear) = (Order::Host(n, kind), Order::Host(n, HostFault::None));
         vec![(Act::Site(set), Some(Act::Site(clear)))]
@@ -89,6 +92,13 @@
         FaultKind::FeedSilent => feed(FeedFault::Silent),
         FaultKind::FeedDoubled => feed(FeedFault::Doubled),
         FaultKind::FeedMoved => vec![(Act::MoveFeed(n), None)],
+        FaultKind::LinkCut
+        | FaultKind::LinkCutTo
+        | FaultKind::LinkCutFrom
+        | FaultKind::LinkStall
+        | FaultKind::LinkSlow
+        | FaultKind::LinkReset
+        | FaultKind::LinkBlackHole => vec![(Act::Link(number, true), Some(Act::Link(number, false)))],
     }
 }
 
@@ -105,6 +115,7 @@
     begun: Micros,
     mut keeper: Keeper,
     site: Arc<Site>,
+    network: Option<Network>,
     notes: Notes,
     stop: Arc<AtomicBool>,
 ) -> std::thread::JoinHandle<Keeper> {
@@ -130,6 +141,7 @@
                     Act::Resume(n) => keeper.resume(n),
                     Act::Terminate(n) => keeper.terminate(n),
                     Act::Launch(n) => waiting.push(n),
+                    Act::Link(n, begins) => network.iter().for_each(|network| network.strike(n, begins)),
                     Act::MoveFeed(n) => {
                         let before = site.feed(n);
                         site.order(Order::MoveFeed(n));
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod director;
 pub mod front;
 pub mod harm;
+pub mod network;
 pub mod owners;
 pub mod plan;
 pub mod report;
--- /dev/null
+++ b/crates/load/src/network.rs
@@ -0,0 +1,324 @@
+//! Links between the parties of a rehearsal: which of them a plan strikes, their relays, and what is wrong
+//! with them when.
+//!
+//! Only links that a fault of the plan names get a relay; all others are as without. Parties are written as
+//! `placers 0..3, hosts 2`, `rooms 1` (its hosts and its placers), `racks 0`, `feeds` or `owners`; without numbers all
+//! of a kind are meant. A fault strikes every link between a party of one side and a party of the other,
+//! whoever calls.
+
+use crate::plan::{Fault, FaultKind, Plan, Which};
+use serde::{Deserialize, Serialize};
+use standin::audit::{Note, Peer};
+use standin::keeper::Keeper;
+use standin::link::{self, End, Links};
+use standin::notes::Notes;
+use standin::site::Site;
+use std::collections::{BTreeMap, BTreeSet};
+use std::io;
+use std::net::SocketAddr;
+
+/// The most links that a plan may strike: each has a listener, and two descriptors a connection.
+pub const MOST_LINKS: usize = 1_024;
+
+/// Kinds of parties.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Kind {
+    Owners,
+    Placers,
+    Hosts,
+    Racks,
+    Rooms,
+    Feeds,
+}
+
+impl Kind {
+    const ALL: [(&'static str, Kind); 6] = [
+        ("owners", Kind::Owners),
+        ("placers", Kind::Placers),
+        ("hosts", Kind::Hosts),
+        ("racks", Kind::Racks),
+        ("rooms", Kind::Rooms),
+        ("feeds", Kind::Feeds),
+    ];
+
+    fn as_str(self) -> &'static str {
+        Kind::ALL.iter().find(|(_, kind)| *kind == self).map_or("", |(name, _)| name)
+    }
+}
+
+/// One side of a link fault.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(try_from = "String", into = "String")]
+pub struct Parties {
+    text: String,
+    named: Vec<(Kind, Option<Which>)>,
+}
+
+impl TryFrom<String> for Parties {
+    type Error = String;
+
+    fn try_from(text: String) -> Result<Parties, String> {
+        let named = text.split(',').map(|part| {
+            let mut words = part.split_whitespace();
+            let kind = words.next().and_then(|word| Kind::ALL.iter().find(|(name, _)| *name == word));
+            let (_, kind) = kind.ok_or_else(|| {
+                let known = Kind::ALL.map(|(name, _)| name).join(", ");
+                format!("expected one of {known}, found \"{}\"", part.trim())
+            })?;
+            let which = match (words.next(), words.next()) {
+                (None, _) => None,
+                (Some(word), None) => Some(match word.parse() {
+                    Ok(one) => Which::One(one),
+                    Err(_) => Which::Range(word.to_string().try_into()?),
+                }),
+                (Some(_), Some(_)) => {
+                    return Err(format!("expected one number or range in \"{}\"", part.trim()));
+                }
+            };
+            Ok((*kind, which))
+        });
+        Ok(Parties { named: named.collect::<Result<_, String>>()?, text })
+    }
+}
+
+impl From<Parties> for String {
+    fn from(parties: Parties) -> String {
+        parties.text
+    }
+}
+
+impl std::fmt::Display for Parties {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(&self.text)
+    }
+}
+
+impl Parties {
+    /// Whether none is named.
+    pub fn is_empty(&self) -> bool {
+        self.named.is_empty()
+    }
+
+    /// The ends that are meant; an error names what is not there.
+    pub fn ends(&self, plan: &Plan) -> Result<BTreeSet<End>, String> {
+        let (placers, hosts) = (plan.placers.count, plan.hosts.count);
+        let (rooms, rack) = (plan.rooms.len().max(1), plan.hosts.rack.max(1));
+        let mut ends = BTreeSet::new();
+        for (kind, which) in &self.named {
+            let count = match kind {
+                Kind::Owners => 1,
+                Kind::Placers | Kind::Feeds => placers,
+                Kind::Hosts => hosts,
+                Kind::Racks => hosts.div_ceil(rack),
+                Kind::Rooms => rooms,
+            };
+            let all = which.as_ref().map_or_else(|| (0..count).collect(), Which::all);
+            if let Some(beyond) = all.iter().find(|n| **n >= count) {
+                return Err(format!("there are {count} {}, counted from 0, found {beyond}", kind.as_str()));
+            }
+            for n in all {
+                match kind {
+                    Kind::Owners => drop(ends.insert(End::Owners)),
+                    Kind::Placers => drop(ends.insert(End::Placer(n))),
+                    Kind::Hosts => drop(ends.insert(End::Host(n))),
+                    Kind::Feeds => drop(ends.insert(End::Feed(n))),
+                    Kind::Racks => ends.extend((n * rack..hosts.min((n + 1) * rack)).map(End::Host)),
+                    Kind::Rooms => {
+                        ends.extend((n..hosts).step_by(rooms).map(End::Host));
+                        ends.extend((n..placers).step_by(rooms).map(End::Placer));
+                    }
+                }
+            }
+        }
+        Ok(ends)
+    }
+}
+
+/// A link, by its placer and whom it is with.
+type Link = (usize, Peer);
+
+/// The links between two sets of ends. Owners call placers; placers call hosts, and their own feed.
+fn between(one: &BTreeSet<End>, other: &BTreeSet<End>) -> BTreeSet<Link> {
+    let mut links = BTreeSet::new();
+    for (from, to) in [(one, other), (other, one)] {
+        for (a, b) in from.iter().flat_map(|a| to.iter().map(move |b| (a, b))) {
+            match (a, b) {
+                (End::Owners, End::Placer(n)) => drop(links.insert((*n, Peer::Owners))),
+                (End::Placer(n), End::Host(place)) => drop(links.insert((*n, Peer::Host(*place)))),
+                (End::Placer(n), End::Feed(of)) if n == of => drop(links.insert((*n, Peer::Feed))),
+                _ => {}
+            }
+        }
+    }
+    links
+}
+
+/// What a fault does to its links; none where it is no fault of links.
+pub fn fault(fault: &Fault) -> Option<link::Fault> {
+    Some(match fault.kind {
+        FaultKind::LinkCut => link::Fault::Cut,
+        FaultKind::LinkCutTo => link::Fault::CutTo,
+        FaultKind::LinkCutFrom => link::Fault::CutFrom,
+        FaultKind::LinkStall => link::Fault::Stall,
+        FaultKind::LinkSlow => link::Fault::Slow(fault.by),
+        FaultKind::LinkReset => link::Fault::Reset,
+        FaultKind::LinkBlackHole => link::Fault::BlackHole,
+        _ => return None,
+    })
+}
+
+/// The links that a fault strikes, or what is wrong with it.
+pub fn struck(plan: &Plan, fault: &Fault) -> Result<BTreeSet<Link>, String> {
+    let (one, other) = (fault.from.ends(plan)?, fault.to.ends(plan)?);
+    let links = between(&one, &other);
+    if links.is_empty() {
+        return Err(format!(
+            "nobody of \"{}\" calls anybody of \"{}\", nor the other way",
+            fault.from, fault.to
+        ));
+    }
+    Ok(links)
+}
+
+/// A fault of links.
+struct Strike {
+    does: link::Fault,
+    between: [BTreeSet<End>; 2],
+    links: BTreeSet<Link>,
+}
+
+/// The relays of a rehearsal.
+pub struct Network {
+    links: Links,
+    /// All links that have a relay.
+    relayed: BTreeSet<Link>,
+    /// By number of the fault.
+    faults: BTreeMap<usize, Strike>,
+    notes: Notes,
+}
+
+impl Network {
+    /// Relays for the links that a plan strikes, to the hosts and feeds of an installation; none where it
+    /// strikes none. Placers that start from now on call through them.
+    pub fn open(plan: &Plan, site: &Site, notes: Notes) -> io::Result<Option<Network>> {
+        let mut faults = BTreeMap::new();
+        for (n, struck_by) in plan.faults.iter().enumerate() {
+            let Some(does) = fault(struck_by) else { continue };
+            let links = struck(plan, struck_by).map_err(io::Error::other)?;
+            let between = [struck_by.from.ends(plan), struck_by.to.ends(plan)].map(Result::unwrap_or_default);
+            faults.insert(n, Strike { does, between, links });
+        }
+        if faults.is_empty() {
+            return Ok(None);
+        }
+        let relayed: BTreeSet<Link> =
+            faults.values().flat_map(|strike| strike.links.iter().copied()).collect();
+        let links = Links::start()?;
+        let (mut hosts, mut feeds) = (BTreeMap::new(), BTreeMap::new());
+        for (placer, peer) in &relayed {
+            let from = End::Placer(*placer);
+            match peer {
+                Peer::Owners => {}
+                Peer::Host(place) => {
+                    let address = site.address(*placer, *place);
+                    let address = address.ok_or_else(|| io::Error::other("no such host"))?;
+                    hosts.insert((*placer, *place), links.relay(from, End::Host(*place), address)?);
+                }
+                Peer::Feed => {
+                    let address = site.feed(*placer).ok_or_else(|| io::Error::other("no such feed"))?;
+                    feeds.insert(*placer, links.relay(from, End::Feed(*placer), address)?);
+                }
+            }
+        }
+        site.route(hosts, feeds);
+        Ok(Some(Network { links, relayed, faults, notes }))
+    }
+
+    /// Where owners call a placer: its relay, if that link has one.
+    pub fn owners_call(&self, placer: usize, keeper: &Keeper) -> io::Result<Option<SocketAddr>> {
+        let Some(listen) = keeper.listen(placer) else { return Ok(None) };
+        if !self.relayed.contains(&(placer, Peer::Owners)) {
+            return Ok(Some(listen));
+        }
+        self.links.relay(End::Owners, End::Placer(placer), listen).map(Some)
+    }
+
+    /// A fault of the plan begins or ends.
+    pub fn strike(&self, n: usize, begins: bool) {
+        let Some(Strike { does, between: [one, other], links }) = self.faults.get(&n) else { return };
+        let does = if begins { *does } else { link::Fault::None };
+        // What is held back counts from before it is, until after it no longer is.
+        let note = || {
+            for (placer, peer) in links {
+                self.notes.add(Note::Link { placer: *placer, peer: *peer, whole: !begins });
+            }
+        };
+        if begins {
+            note();
+        }
+        let _ = self.links.fault(one, other, does);
+        if !begins {
+            note();
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn plan(faults: &str) -> Result<Plan, String> {
+        let text =
+            format!("rooms = [\"a\", \"b\"]\n[placers]\ncount = 3\n[hosts]\ncount = 5\nrack = 2\n{faults}");
+        Plan::parse(&text).map_err(|e| e.to_string())
+    }
+
+    fn link(kind: &str, from: &str, to: &str) -> String {
+        format!(
+            "[[fault]]\nat = \"1s\"\nlength = \"1s\"\nkind = \"{kind}\"\nfrom = \"{from}\"\nto = \"{to}\"\n"
+        )
+    }
+
+    #[test]
+    fn parties_name_the_links_between_them_whoever_calls() {
+        let hosts =
+            |placer, places: &[usize]| places.iter().map(|p| (placer, Peer::Host(*p))).collect::<Vec<_>>();
+        for (from, to, links) in [
+            ("placers 1", "hosts 0..2", hosts(1, &[0, 1])),
+            ("hosts 0..2", "placers 1", hosts(1, &[0, 1])),
+            ("racks 2", "placers 0", hosts(0, &[4])),
+            ("owners", "placers 0..2", vec![(0, Peer::Owners), (1, Peer::Owners)]),
+            ("placers", "feeds 2", vec![(2, Peer::Feed)]),
+            // A room is its hosts and its placers: it is parted from the other.
+            ("rooms 0", "rooms 1", [hosts(0, &[1, 3]), hosts(1, &[0, 2, 4]), hosts(2, &[1, 3])].concat()),
+            ("owners, feeds", "placers 2", vec![(2, Peer::Owners), (2, Peer::Feed)]),
+        ] {
+            let plan = plan(&link("link-cut", from, to)).expect(from);
+            let found = struck(&plan, &plan.faults[0]).expect(from);
+            assert_eq!(found, links.into_iter().collect(), "{from} to {to}");
+        }
+    }
+
+    #[test]
+    fn what_can_not_be_meant_is_named() {
+        for (faults, says) in [
+            (link("link-cut", "placer 0", "hosts"), "expected one of owners, placers"),
+            (link("link-cut", "placers 0 1", "hosts"), "expected one number or range"),
+            (link("link-cut", "placers 3..2", "hosts"), "expected a range"),
+            (link("link-cut", "placers 3", "hosts"), "from: there are 3 placers, counted from 0, found 3"),
+            (link("link-cut", "placers", "racks 3"), "to: there are 3 racks"),
+            (link("link-cut", "owners", "hosts"), "nobody of \"owners\" calls anybody of \"hosts\""),
+            (link("link-slow", "owners", "placers"), "by: expected how late"),
+            (link("placer-stop", "owners", "placers"), "from, to, by: only faults of links"),
+            ("[[fault]]\nat = \"1s\"\nkind = \"link-cut\"\n".into(), "from, to: expected parties"),
+            (link("link-cut", "owners", "placers") + "which = 1\n", "which: links are named by from and to"),
+            (
+                link("link-cut", "placers", "feeds") + "[[fault]]\nat = \"1s\"\nkind = \"feed-moved\"\n",
+                "a feed behind a link does not move",
+            ),
+        ] {
+            let error = plan(&faults).expect_err(&faults);
+            assert!(error.contains(says), "{faults}: {error}");
+        }
+    }
+}
--- a/crates/load/src/plan.rs
+++ b/crates/load/src/plan.rs
@@ -1,9 +1,12 @@
 //! Plans: everything that a rehearsal is made of, in one TOML file. Unknown keys are refused, and a value
 //! that can't be meant is named with its field before anything starts.
 
+use crate::network::{self, MOST_LINKS, Parties};
 use crate::owners::Policy;
 use crate::shape::{self, Shape};
 use serde::{Deserialize, Serialize};
+use standin::audit::Peer;
+use std::collections::BTreeSet;
 use std::fmt;
 use std::path::Path;
 use std::time::Duration;
@@ -416,6 +419,15 @@
     /// Between one of them and the next.
     #[serde(with = "span", default)]
     pub stagger: Duration,
+    /// The parties whose links to those of `to` it strikes, for faults of links: see [`Parties`].
+    #[serde(default, skip_serializing_if = "Parties::is_empty")]
+    pub from: Parties,
+    /// The other side.
+    #[serde(default, skip_serializing_if = "Parties::is_empty")]
+    pub to: Parties,
+    /// How late bytes are on a slow link, each way.
+    #[serde(with = "span", default, skip_serializing_if = "Duration::is_zero")]
+    pub by: Duration,
     /// It comes so many times, one after another, with a pause as long as itself between.
     #[serde(default = "once")]
     pub times: u32,
@@ -521,6 +533,20 @@
     FeedDoubled,
     /// It moves to another address; the placer is told by its configuration and SIGHUP.
     FeedMoved,
+    /// Nothing arrives on links, either way, and new connections do not come up. What was said arrives at the end.
+    LinkCut,
+    /// The same for what `from` says to `to`.
+    LinkCutTo,
+    /// The same for what `to` says to `from`.
+    LinkCutFrom,
+    /// Bytes wait on links.
+    LinkStall,
+    /// Bytes are late on links.
+    LinkSlow,
+    /// Connections are reset, and new ones as soon as they are there.
+    LinkReset,
+    /// New connections do not come up; those that are open go on.
+    LinkBlackHole,
 }
 
 /// What the report judges by.
@@ -685,6 +711,7 @@
                 "owners.spread: agent: [placers] operator must open an agent check at {agent}".into(),
             );
         }
+        let mut struck = BTreeSet::new();
         for (n, fault) in self.faults.iter().enumerate() {
             use FaultKind::*;
             let most = match fault.kind {
@@ -694,6 +721,41 @@
                 RackDie => self.hosts.count.div_ceil(self.hosts.rack.max(1)),
                 _ => self.hosts.count,
             };
+            match network::fault(fault) {
+                Some(_) => {
+                    let named = !fault.from.is_empty() && !fault.to.is_empty();
+                    want(named, format!("fault {n}: from, to: expected parties, such as \"placers 0..3\""));
+                    want(
+                        fault.which == Which::default(),
+                        format!("fault {n}: which: links are named by from and to"),
+                    );
+                    want(
+                        fault.kind != LinkSlow || !fault.by.is_zero(),
+                        format!("fault {n}: by: expected how late bytes are"),
+                    );
+                    for (side, parties) in [("from", &fault.from), ("to", &fault.to)] {
+                        if let Err(what) = parties.ends(self) {
+                            want(false, format!("fault {n}: {side}: {what}"));
+                        }
+                    }
+                    match network::struck(self, fault) {
+                        Ok(links) => {
+                            let moved = self.faults.iter().any(|f| f.kind == FeedMoved);
+                            let feeds = links.iter().any(|(_, peer)| *peer == Peer::Feed);
+                            want(!(moved && feeds), format!("fault {n}: a feed behind a link does not move"));
+                            struck.extend(links);
+                        }
+                        Err(what) if named => want(false, format!("fault {n}: {what}")),
+                        Err(_) => {}
+                    }
+                    want((1..=1_000).contains(&fault.times), format!("fault {n}: times: expected 1 to 1000"));
+                    continue;
+                }
+                None => {
+                    let plain = fault.from.is_empty() && fault.to.is_empty() && fault.by.is_zero();
+                    want(plain, format!("fault {n}: from, to, by: only faults of links have them"));
+                }
+            }
             let beyond = fault.targets().into_iter().find(|target| *target >= most);
             want(
                 beyond.is_none(),
@@ -706,6 +768,11 @@
                 format!("fault {n}: times: what has no length comes once"),
             );
         }
+        let links = struck.len();
+        want(
+            links <= MOST_LINKS,
+            format!("fault: expected at most {MOST_LINKS} links in all, found {links}"),
+        );
         found
     }
 }
--- a/crates/load/src/run.rs
+++ b/crates/load/src/run.rs
@@ -7,6 +7,7 @@
 use crate::director::{self, Act};
 use crate::front::{Front, Tested};
 use crate::harm::Harm;
+use crate::network::Network;
 use crate::owners::{Counts, Effect, Event, Fate, Owners, Settings, Wanted, Word};
 use crate::plan::{Plan, Spread};
 use crate::shape::{Micros, Shape};
@@ -250,6 +251,7 @@
         seed: plan.seed,
     };
     let site = Arc::new(Site::start(layout, notes.clone()).map_err(error("the installation"))?);
+    let network = Network::open(plan, &site, notes.clone()).map_err(error("the links"))?;
     let start = Start {
         binary: options.placer.clone(),
         guard: options.guard.clone(),
@@ -262,8 +264,14 @@
     };
     let what = format!("placers ({})", options.placer.display());
     let keeper = Keeper::start(start, plan.placers.count, &site, notes.clone()).map_err(error(&what))?;
-    let placers: Vec<(SocketAddr, SocketAddr)> =
-        (0..keeper.count()).filter_map(|n| Some((keeper.listen(n)?, keeper.agent(n)?))).collect();
+    let mut placers: Vec<(SocketAddr, SocketAddr)> = Vec::new();
+    for n in 0..keeper.count() {
+        let called = match &network {
+            Some(network) => network.owners_call(n, &keeper).map_err(error("the links"))?,
+            None => keeper.listen(n),
+        };
+        placers.extend(called.zip(keeper.agent(n)));
+    }
 
     let executor = Rc::new(LocalExecutor::new());
     let world = Rc::new(World {
@@ -300,7 +308,7 @@
         let begun = notes.now() + 100 * MILLI;
         world.begun.set(begun);
         let directing =
-            director::direct(acts.clone(), begun, keeper, site.clone(), notes.clone(), stop.clone());
+            director::direct(acts.clone(), begun, keeper, site.clone(), network, notes.clone(), stop.clone());
         let ticking = world.clone();
         executor.spawn(async move { ticking.tick_on().await }).detach();
         if options.progress {
@@ -345,6 +353,7 @@
     let rules = Rules {
         classes: plan.classes.iter().map(|c| (c.once, bound(c.most_in_room))).collect(),
         rooms,
+        places: places.clone(),
         slack: Rules::default().slack + own,
         ..Rules::default()
     };
--- a/crates/load/tests/rehearsal.rs
+++ b/crates/load/tests/rehearsal.rs
@@ -411,3 +411,53 @@
         .collect();
     assert!(logs.contains("overload-step") && logs.contains("shed="), "what is decided is told");
 }
+
+/// A plan of the repository, with the parts of its operator's file on or off.
+fn plan_file(name: &str, as_one: bool) -> String {
+    let path = format!("{}/../../plans/{name}.toml", env!("CARGO_MANIFEST_DIR"));
+    let text = std::fs::read_to_string(path).expect("a plan");
+    if as_one { text } else { text.replace("enabled = true", "enabled = false") }
+}
+
+/// The part of the tasks due in a phase that started in aim, of those that `which` picks by their placer.
+fn in_aim(outcome: &Outcome, phase: &str, which: impl Fn(Option<usize>) -> bool) -> f64 {
+    let number = outcome.shape.phases.iter().position(|p| p.name == phase).expect("a phase");
+    let of = outcome.tasks.iter().filter(|task| task.phase == number && which(task.placer));
+    let (count, good) = of.fold((0, 0), |(count, good), task| {
+        (count + 1, good + usize::from(task.started.is_some_and(|late| late <= 1_000 * MILLI)))
+    });
+    assert!(count > 50, "{phase}: {count} tasks");
+    good as f64 / count as f64
+}
+
+#[test]
+fn one_placer_with_bad_links_to_half_of_the_hosts_is_not_taken_for_the_fleet() {
+    let (outcome, folder) = rehearse(&plan_file("one-bad-placer", true));
+    clean(&outcome);
+    let told = || format!("{}{}", summarize(&outcome).text(&outcome), outcome.harm.text());
+    assert!(in_aim(&outcome, "bad", |placer| placer != Some(0)) > 0.95, "{}", told());
+    assert!(in_aim(&outcome, "after", |_| true) > 0.95, "{}", told());
+    for n in 0..6 {
+        let log = std::fs::read_to_string(folder.path().join(format!("placer-{n}.log"))).expect("a log");
+        assert!(!log.contains("overload-step"), "placer {n} sheds: {log}");
+    }
+    // The links were bad: what was offered there came to nothing in time.
+    assert!(outcome.counts.again > 0 || outcome.harm.sum(|s| s.in_vain) > 0, "{}", told());
+}
+
+#[test]
+fn a_rack_cut_off_from_every_placer_and_back_at_once_is_no_second_trouble() {
+    let (before, _folder) = rehearse(&plan_file("rack-cut", false));
+    let (as_one, _folder) = rehearse(&plan_file("rack-cut", true));
+    clean(&before);
+    clean(&as_one);
+    let told = |outcome: &Outcome| format!("{}{}", summarize(outcome).text(outcome), outcome.harm.text());
+    let after = |outcome: &Outcome| in_aim(outcome, "after", |_| true);
+    assert!(after(&as_one) > 0.95, "{}", told(&as_one));
+    assert!(after(&as_one) > after(&before) + 0.1, "{}{}", told(&before), told(&as_one));
+    // Nothing came to the rack while it was cut off, and less came in vain when it was back.
+    let cut = |outcome: &Outcome| outcome.harm.at[..2].iter().map(|line| line[4] + line[5]).sum::<u32>();
+    assert_eq!((cut(&before), cut(&as_one)), (0, 0), "{}", told(&as_one));
+    let vain = |outcome: &Outcome| outcome.harm.sum(|s| s.in_vain);
+    assert!(vain(&as_one) < vain(&before), "{}{}", told(&before), told(&as_one));
+}
