Owners of rehearsals keep a connection that carries standing tasks

Need: the rehearsal in which a placer drains failed since words on ended tasks are kept from fronts: "drained owed=0 standing=0 untold=1", and a test connection each 1.02 s with reason=draining. Cause: the generator closed a connection after 4 s without an open set-up although tasks placed on it stood (crates/load/src/run.rs, `write`), so that nobody was left to be told; before, the word went to the front's test connection, which the generator reads like any other. The protocol has owners close what carries no task. Change: a connection is kept while tasks stand that were set up or named on it. Checked: the two rehearsals with drains and restarts pass (37 s together).

--- a/crates/load/src/run.rs
+++ b/crates/load/src/run.rs
@@ -26,7 +26,7 @@
 use standin::site::{Layout, Look, Site, describe};
 use standin::{Message, bytes};
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::path::PathBuf;
 use std::rc::Rc;
@@ -428,10 +428,20 @@
     writing: VecDeque<(u64, u64)>,
     /// Set-ups that wait for their answer, and when they were written.
     open: BTreeMap<u64, Micros>,
+    /// Tasks that stand and were set up or named on it: while there are any it is kept, since their ends are told
+    /// on connections that carry tasks.
+    stands: BTreeSet<u64>,
     used: Micros,
     wake: Sender<()>,
 }
 
+impl Conn {
+    /// Whether it carries no task.
+    fn idle(&self) -> bool {
+        self.open.is_empty() && self.stands.is_empty() && self.queue.is_empty()
+    }
+}
+
 /// A set-up as it was sent.
 #[derive(Clone)]
 struct Sent {
@@ -660,7 +670,10 @@
         let sent = self.set_up(&task, Attempt { id, wait: 0, placer, again: false, at, now });
         self.notes.add(sent.note.clone());
         self.inner.borrow_mut().owners.sent_to(id, placer);
-        self.send(now, placer, None, &sent.bytes);
+        let on = self.send(now, placer, None, &sent.bytes);
+        if let Some(conn) = self.inner.borrow_mut().conns.get_mut(&on) {
+            conn.stands.insert(id);
+        }
     }
 
     /// Writes to the placer that a set-up went to, on the connection where it is open.
@@ -672,8 +685,8 @@
         }
     }
 
-    /// Queues bytes on a connection to a placer: the least busy one, or another where there may be more.
-    fn send(self: &Rc<Self>, now: Micros, placer: usize, id: Option<u64>, words: &[u8]) {
+    /// Queues bytes on a connection to a placer: the least busy one, or another where there may be more. Says which.
+    fn send(self: &Rc<Self>, now: Micros, placer: usize, id: Option<u64>, words: &[u8]) -> u64 {
         let chosen = {
             let inner = self.inner.borrow();
             let mut theirs: Vec<(usize, u64)> = inner
@@ -696,6 +709,7 @@
                 conn.writing.push_back((id, end));
             }
         }
+        n
     }
 
     /// Opens a connection; what is sent meanwhile waits for it.
@@ -712,6 +726,7 @@
                 taken: 0,
                 writing: VecDeque::new(),
                 open: BTreeMap::new(),
+                stands: BTreeSet::new(),
                 used: now,
                 wake,
             };
@@ -776,8 +791,7 @@
                 };
                 if !wake.or(rest).await {
                     let inner = self.inner.borrow();
-                    let quiet =
-                        inner.conns.get(&n).is_none_or(|conn| conn.open.is_empty() && conn.queue.is_empty());
+                    let quiet = inner.conns.get(&n).is_none_or(Conn::idle);
                     if quiet {
                         return true;
                     }
@@ -827,7 +841,7 @@
                 })
             };
             match again {
-                Some(words) => self.send(now, placer, Some(id), &words),
+                Some(words) => drop(self.send(now, placer, Some(id), &words)),
                 None => {
                     self.notes.add(Note::Broken(id));
                     self.tell(now, Event::Broken(id), None);
@@ -847,6 +861,14 @@
             if let Some(conn) = inner.conns.get_mut(&n) {
                 conn.used = now;
                 conn.open.remove(&id);
+                if message.kind == 9 {
+                    conn.stands.insert(id);
+                }
+            }
+            if message.kind != 9 {
+                inner.conns.values_mut().for_each(|conn| {
+                    conn.stands.remove(&id);
+                });
             }
             let told = match message.kind {
                 9 => Told::Placed(fingerprint(message.text(174).unwrap_or_default())),
