Processes of one placer share its part of what cold hosts bear

Tests: two processes on one socket and a cold host that bears 3 offers a second: one offer from one of them; with the share not handed on two (seen to fail). Two modules over the whole cold time: as many as one; untold more.

--- a/src/facade.rs
+++ b/src/facade.rs
@@ -6,6 +6,7 @@
 //! and answers its requests for the host list from the state of the feed.
 
 use crate::interface::*;
+use crate::operation::company::Share;
 use crate::overload::{self, Overload, Parts};
 use crate::policy::Placer;
 use crate::settings::Names;
@@ -212,6 +213,11 @@
         self.overload.as_ref()
     }
 
+    /// So many processes act as this placer from now on, and this is one of them.
+    pub fn share(&mut self, now: Micros, share: Share) -> Vec<Verdict> {
+        self.give(now, Event::Bounds(vec![Bound::Processes { of: share.of, me: share.me }]))
+    }
+
     /// The names of the settings.
     pub fn names(&self) -> &Names {
         &self.names
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -348,6 +348,13 @@
     },
     /// An ask is not to be attempted again.
     Last(ReqId),
+    /// So many processes act as this placer at the moment; the number of this one among them.
+    Processes {
+        /// How many.
+        of: u32,
+        /// Which, from 0.
+        me: u32,
+    },
 }
 
 /// How an attempt ended.
--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -91,6 +91,9 @@
     pub out: u32,
     pub most_out: Option<u32>,
     pub gate: Gate,
+    /// Processes that act as this placer, less this one, and the number of this one.
+    pub beside: u32,
+    pub process: u32,
     places: BTreeMap<HostId, Place>,
 }
 
@@ -148,6 +151,10 @@
                 let before = std::mem::replace(&mut self.gate, Gate { through: *through, late: *late });
                 *through > before.through
             }
+            Bound::Processes { of, me } => {
+                (self.beside, self.process) = (of.saturating_sub(1), *me);
+                true
+            }
             Bound::Last(_) => false,
         }
     }
--- a/src/net/dispatch.rs
+++ b/src/net/dispatch.rs
@@ -27,6 +27,7 @@
 use anisehead::facade::{Facade, News, Ticket, Unfit, Verdict};
 use anisehead::health::drain::Hand;
 use anisehead::health::{Event, Gauges, Zone};
+use anisehead::operation::company::Company;
 use anisehead::operation::duty::{self, Duty};
 use anisehead::operation::tally::{Ended as Told, Tally};
 use anisehead::settings::Names;
@@ -173,9 +174,9 @@
     duty: Duty,
     /// What it has done.
     pub(super) tally: Tally,
-    /// What the placer may hold, and how many other processes of it hold a part of that.
+    /// What the placer may hold, and which other processes of it there are.
     limits: Limits,
-    others: usize,
+    company: Company,
     /// The listening socket is the platform's, and other processes of this placer accept from it.
     pub(super) inherits: bool,
     /// Owners can connect.
@@ -197,6 +198,8 @@
         let polls = if operator.health.listens() { operator.health.connections + 4 } else { 0 };
         let calls = if config.admin.is_some() { admin::MOST + 1 } else { 0 };
         let apart = listeners + polls + calls + if operator.ctl.is_some() { 6 } else { 0 };
+        // What a cold host was sent is looked back on for that time, and counted by clocks that differ.
+        let company = Company::new(2 * config.settings.fall);
         let tally = Tally::new(config.names.classes.len());
         conn::bound_queues(config.limits.memory / QUEUES);
         Dispatch {
@@ -232,7 +235,7 @@
             duty: Duty::default(),
             tally,
             limits: config.limits,
-            others: 0,
+            company,
             inherits: false,
             listens: false,
             drained: false,
@@ -264,7 +267,7 @@
     /// Takes over what the process may hold.
     pub fn limit(&mut self, limits: Limits) {
         self.limits = limits;
-        let processes = 1 + self.others;
+        let processes = 1 + self.company.others() as usize;
         self.owners.limit(limits.sockets / processes);
         self.share_out();
         conn::bound_queues(limits.memory / QUEUES / processes);
--- a/src/net/dispatch/operating.rs
+++ b/src/net/dispatch/operating.rs
@@ -23,10 +23,24 @@
         !self.duty.leaves()
     }
 
-    /// Another process of this placer lives, or has ended: they count as one, and share what one may hold.
-    pub fn beside(&mut self, lives: bool) {
-        self.others = if lives { self.others + 1 } else { self.others.saturating_sub(1) };
-        info!(others = self.others, "processes of this placer");
+    /// Another process of this placer lives, which was there `first` or came later: they count as one, and share
+    /// what one may hold and do.
+    pub fn met(&mut self, first: bool) {
+        let now = self.clock.now();
+        let share = self.company.met(first);
+        let verdicts = self.facade.share(now, share);
+        self.carry_out(now, verdicts);
+        self.share_limits();
+    }
+
+    /// One of them has ended.
+    pub fn left(&mut self) {
+        self.company.left(self.clock.now());
+        self.share_limits();
+    }
+
+    fn share_limits(&mut self) {
+        info!(others = self.company.others(), "processes of this placer");
         self.limit(self.limits);
     }
 
@@ -64,5 +78,9 @@
         if self.duty.empties() {
             self.owners.close_spare(now);
         }
+        if let Some(share) = self.company.look(now) {
+            let verdicts = self.facade.share(now, share);
+            self.carry_out(now, verdicts);
+        }
     }
 }
--- a/src/net/inherit.rs
+++ b/src/net/inherit.rs
@@ -57,7 +57,7 @@
 async fn find(path: PathBuf, shared: Shared) {
     loop {
         match Async::<UnixStream>::connect(&path).await {
-            Ok(first) => beside(first, &shared).await,
+            Ok(first) => beside(first, true, &shared).await,
             Err(_) => match bind(&path) {
                 Ok(listener) => return accept(listener, &shared).await,
                 // Another was faster, or there is no place for it.
@@ -83,7 +83,7 @@
         match listener.accept().await {
             Ok((stream, _)) => {
                 let with = shared.clone();
-                shared.borrow().tasks.spawn(async move { beside(stream, &with).await });
+                shared.borrow().tasks.spawn(async move { beside(stream, false, &with).await });
             }
             Err(e) => AcceptFailed::pause(shared, &e).await,
         }
@@ -92,8 +92,8 @@
 }
 
 /// Another process lives for as long as this connection does.
-async fn beside(mut stream: Async<UnixStream>, shared: &Shared) {
-    shared.borrow_mut().beside(true);
+async fn beside(mut stream: Async<UnixStream>, first: bool, shared: &Shared) {
+    shared.borrow_mut().met(first);
     while let Ok(1..) = stream.read(&mut [0; 64]).await {}
-    shared.borrow_mut().beside(false);
+    shared.borrow_mut().left();
 }
--- a/src/operation/mod.rs
+++ b/src/operation/mod.rs
@@ -2,5 +2,6 @@
 //! taken back, and to hand over to the process that takes its place. Without I/O.
 
 pub mod calls;
+pub mod company;
 pub mod duty;
 pub mod tally;
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -517,14 +517,17 @@
         }
         let span = (self.s.fall as f64 * COLD_STRETCH).max(1.0);
         let since = |span: f64| m.offers.iter().filter(|t| (self.now - **t) as f64 <= span).count();
-        let placers = self.s.placers.max(1) as f64;
+        // Several processes of one placer are as many placers here.
+        let processes = f64::from(self.fleet.beside) + 1.0;
+        let placers = self.s.placers.max(1) as f64 * processes;
         let part = COLD_PART * self.s.cold_sends / placers;
         if part >= 1.0 {
             return (since(span) + 1) as f64 <= part;
         }
         let turn = COLD_TURN * span;
         let round = (span + turn) / part.max(f64::MIN_POSITIVE);
-        let offset = self.s.me as f64 / placers + (m.hash >> 32) as f64 / (1u64 << 32) as f64;
+        let me = self.s.me as f64 * processes + f64::from(self.fleet.process);
+        let offset = me / placers + (m.hash >> 32) as f64 / (1u64 << 32) as f64;
         let phase = (age as f64 / round + offset).fract() * round;
         phase < turn && since(turn) == 0
     }
--- a/tests/operating.rs
+++ b/tests/operating.rs
@@ -281,6 +281,38 @@
     assert!(new.runs());
 }
 
+#[test]
+fn two_processes_send_a_cold_host_no_more_than_one_placer_may() {
+    let (feed, host) = (Feed::new(), Host::new("h0", "north"));
+    // It bears 3 offers a second: of these one placer sends two, and either of two processes one.
+    let (mut config, calls) = with_calls(config(&feed, vec![host.entry("up", unix_ms())]));
+    let listener = TcpListener::bind(free_address()).expect("a free port");
+    let address = listener.local_addr().expect("an address").to_string();
+    config.insert("listen", address).expect("an object");
+    let folder = tempfile::tempdir().expect("a folder");
+    let launch = |calls: &Calls| {
+        let launch = Launch::new(&config).inherits(&listener).env("LB_ADMIN", &calls.0.to_string());
+        launch.env("TMPDIR", &folder.path().to_string_lossy()).start()
+    };
+    let first = launch(&calls);
+    until("it serves", || calls.check().then_some(()));
+    let second = Calls(free_address());
+    let other = launch(&second);
+    until("it serves", || second.check().then_some(()));
+    first.logged("others=1");
+    other.logged("others=1");
+    let mut conns = [host.accept(), host.accept()];
+    let mut owner = first.owner();
+    for id in 1..6 {
+        owner.set_up(id, &Ask { service: id, ..QUICK });
+    }
+    let mut offers = 0;
+    while conns.iter_mut().any(|conn| conn.read_within(QUIET / 2).is_some()) {
+        offers += 1;
+    }
+    assert_eq!(offers, 1, "{}{}", first.log(), other.log());
+}
+
 #[test]
 fn a_descriptor_that_is_no_listening_socket_is_named() {
     let feed = Feed::new();
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -273,6 +273,43 @@
     assert!(offers > 0 && offers <= 20, "{offers} offers where 60 / 3 are borne");
 }
 
+#[test]
+fn processes_of_one_placer_share_its_part_of_a_cold_machine() {
+    // How many offers so many processes send to one cold machine within `span`, asked all along.
+    let offers = |placers: usize, sends_borne: f64, processes: u32, told: bool, span: Micros| -> usize {
+        let settings = Settings { placers, cold_sends: sends_borne, ..settings() };
+        let mut all: Vec<Bench> = (0..processes).map(|_| Bench::new(settings.clone())).collect();
+        let mut count = 0;
+        for (me, b) in all.iter_mut().enumerate() {
+            let mut cold = entry(0, HostState::Up);
+            cold.ready_at = b.now;
+            b.give(Event::Members { kind: ListKind::Full, entries: vec![cold] });
+            if told {
+                b.give(Event::Bounds(vec![Bound::Processes { of: processes, me: me as u32 }]));
+            }
+            for n in 0..usize::try_from(span / (20 * MS)).unwrap() {
+                let mut sent = sends(&b.ask(Task { budget: 10 * MS, ..task(n, n as u64) }));
+                sent.extend(sends(&untimed(b.pass(0))));
+                for at in sent {
+                    count += 1;
+                    b.end(n, 0, &at, Outcome::Full, Detail::NotHere);
+                    b.give(Event::Probed { host: at, outcome: Outcome::Ok, elapsed: MS, report: Vec::new() });
+                }
+                b.pass(20 * MS);
+            }
+        }
+        count
+    };
+    let (fall, cold) = (settings().fall, settings().cold);
+    // A part of several offers, and one of less than an offer, which is had by turns.
+    for (placers, borne, span) in [(3, 60.0, fall), (30, 30.0, cold - fall)] {
+        let (one, two) = (offers(placers, borne, 1, true, span), offers(placers, borne, 2, true, span));
+        let untold = offers(placers, borne, 2, false, span);
+        assert!(one > 1 && two <= one + 1, "{placers}: {one} of one process, {two} of two");
+        assert!(untold > one + 1, "{placers}: {untold} of two that do not know of each other, {one} of one");
+    }
+}
+
 // ---- Rule 5: spread ----
 
 #[test]
