Stand-in hosts write what they have said before a connection that its placer closed ends

Cause: the placer's connection made way in that moment (log: "connection=2 reason=closed out=0"); `Site::host_conn` saw the end of the placer's side first and dropped the line that was queued, while the host's note says that it was said. The placer still reads then, for 200 ms. Ruled out: the placer's owners (none ended in the run), its visit (it came 3 s after the connection, as stated). Change: what is queued is written before the host's side ends.

--- a/crates/standin/src/site.rs
+++ b/crates/standin/src/site.rs
@@ -569,7 +569,15 @@
             }
         };
         let stopping = async { stopped.recv().await.unwrap_or(false) };
-        reading.or(writing).or(stopping).await
+        let reset = reading.or(writing).or(stopping).await;
+        // What was said before the placer's end was seen goes out: its side may be closed and still read.
+        while let Some(line) = lines.try_recv().ok().filter(|_| !reset) {
+            let mut out = stream;
+            if out.write_all(&line).await.is_err() {
+                break;
+            }
+        }
+        reset
     }
 
     /// A word of a placer; true where the connection is to be reset.
