Processes take over a socket only from one that has ended, and say once if they can't meet

Need: read once more: any failed call at the socket in $TMPDIR removed it, also that of a living process that is slow to answer, and where the folder can't be written a line was logged ten times a second. Change: the socket is removed only where nobody listens; a problem is named when it is new. A test without a folder.

--- a/src/net/inherit.rs
+++ b/src/net/inherit.rs
@@ -55,25 +55,33 @@
 
 /// Follows the process that was there first, until it ends; then is the first.
 async fn find(path: PathBuf, shared: Shared) {
+    let mut told = None;
     loop {
-        match Async::<UnixStream>::connect(&path).await {
-            Ok(first) => beside(first, true, &shared).await,
-            Err(_) => match bind(&path) {
+        let problem = match Async::<UnixStream>::connect(&path).await {
+            Ok(first) => {
+                beside(first, true, &shared).await;
+                continue;
+            }
+            Err(e) => match bind(&path, &e) {
                 Ok(listener) => return accept(listener, &shared).await,
-                // Another was faster, or there is no place for it.
-                Err(e) => {
-                    warn!(path = %path.display(), reason = %e.kind(), "processes do not meet");
-                    Timer::after(PAUSE).await;
-                }
+                Err(e) => e.kind(),
             },
+        };
+        // Another was faster, or there is no place for it; said once.
+        if told.replace(problem) != Some(problem) {
+            warn!(path = %path.display(), reason = %problem, "processes do not meet");
         }
+        Timer::after(PAUSE).await;
     }
 }
 
-/// Takes the place of one that has ended.
-fn bind(path: &Path) -> io::Result<Async<UnixListener>> {
-    if path.exists() {
-        std::fs::remove_file(path)?;
+/// Takes the place of one that has ended, which shows in that nobody listens. Guards the socket of one that lives and
+/// is only slow to answer.
+fn bind(path: &Path, unmet: &io::Error) -> io::Result<Async<UnixListener>> {
+    match unmet.kind() {
+        io::ErrorKind::NotFound => {}
+        io::ErrorKind::ConnectionRefused => std::fs::remove_file(path)?,
+        kind => return Err(kind.into()),
     }
     Async::<UnixListener>::bind(path)
 }
--- a/tests/operating.rs
+++ b/tests/operating.rs
@@ -325,3 +325,17 @@
         assert!(!out.status.success() && said.contains(says), "{number}: {said}");
     }
 }
+
+#[test]
+fn a_process_that_can_not_meet_others_serves_and_says_so_once() {
+    let feed = Feed::new();
+    let (mut config, calls) = with_calls(config(&feed, Vec::new()));
+    let listener = TcpListener::bind(free_address()).expect("a free port");
+    let address = listener.local_addr().expect("an address").to_string();
+    config.insert("listen", address).expect("an object");
+    let program = Launch::new(&config).inherits(&listener).env("TMPDIR", "/nowhere/at/all").start();
+    until("it serves", || calls.check().then_some(()));
+    program.logged("processes do not meet");
+    std::thread::sleep(QUIET);
+    assert_eq!(program.log().matches("processes do not meet").count(), 1, "{}", program.log());
+}
