--- a/tests/operating.rs
+++ b/tests/operating.rs
@@ -205,21 +205,38 @@
 
 // ---- Upgrades ----
 
+/// Processes of one placer: the listening socket and the folder that they share.
+struct Processes {
+    config: OwnedValue,
+    listener: TcpListener,
+    folder: tempfile::TempDir,
+}
+
+impl Processes {
+    /// None yet, of a placer with this configuration.
+    fn of(mut config: OwnedValue) -> Processes {
+        let listener = TcpListener::bind(free_address()).expect("a free port");
+        let address = listener.local_addr().expect("an address").to_string();
+        config.insert("listen", address).expect("an object");
+        Processes { config, listener, folder: tempfile::tempdir().expect("a folder") }
+    }
+
+    /// Starts one more, which serves, and where it takes calls.
+    fn start(&self) -> (Program, Calls) {
+        let calls = Calls(free_address());
+        let launch = Launch::new(&self.config).inherits(&self.listener);
+        let launch = launch.env("LB_ADMIN", &calls.0.to_string());
+        let program = launch.env("TMPDIR", &self.folder.path().to_string_lossy()).start();
+        until("it serves", || calls.check().then_some(()));
+        (program, calls)
+    }
+}
+
 #[test]
 fn a_process_that_leaves_answers_what_it_has_taken_and_the_next_one_accepts_all_else() {
     let (mut feed, hosts) = (Feed::new(), [Host::new("h0", "north")]);
-    let (config, calls) = with_calls(config(&feed, vec![hosts[0].entry("up", 0)]));
-    let listener = TcpListener::bind(free_address()).expect("a free port");
-    let address = listener.local_addr().expect("an address").to_string();
-    let mut config = config;
-    config.insert("listen", address).expect("an object");
-    let folder = tempfile::tempdir().expect("a folder");
-    let launch = |calls: &Calls| {
-        let launch = Launch::new(&config).inherits(&listener).env("LB_ADMIN", &calls.0.to_string());
-        launch.env("TMPDIR", &folder.path().to_string_lossy()).start()
-    };
-    let mut old = launch(&calls);
-    until("it serves", || calls.check().then_some(()));
+    let processes = Processes::of(config(&feed, vec![hosts[0].entry("up", 0)]));
+    let (mut old, calls) = processes.start();
     assert_eq!(feed.subscribed(), 1);
     feed.tell(&json!({ "n": 1 }));
     let mut conn = hosts[0].accept();
@@ -232,9 +249,7 @@
     let open = conn.offer();
     assert!(idle.test());
 
-    let second = Calls(free_address());
-    let mut new = launch(&second);
-    until("it serves", || second.check().then_some(()));
+    let (mut new, second) = processes.start();
     // Two processes count as one placer.
     old.logged("others=1");
     new.logged("others=1");
@@ -274,9 +289,7 @@
     let end = late.read();
     assert_eq!((end.kind, end.id), (12, 2));
     // And the next upgrade finds it.
-    let third = Calls(free_address());
-    let last = launch(&third);
-    until("it serves", || third.check().then_some(()));
+    let (last, _) = processes.start();
     last.logged("others=1");
     assert!(new.runs());
 }
@@ -285,20 +298,8 @@
 fn two_processes_send_a_cold_host_no_more_than_one_placer_may() {
     let (feed, host) = (Feed::new(), Host::new("h0", "north"));
     // It bears 3 offers a second: of these one placer sends two, and either of two processes one.
-    let (mut config, calls) = with_calls(config(&feed, vec![host.entry("up", unix_ms())]));
-    let listener = TcpListener::bind(free_address()).expect("a free port");
-    let address = listener.local_addr().expect("an address").to_string();
-    config.insert("listen", address).expect("an object");
-    let folder = tempfile::tempdir().expect("a folder");
-    let launch = |calls: &Calls| {
-        let launch = Launch::new(&config).inherits(&listener).env("LB_ADMIN", &calls.0.to_string());
-        launch.env("TMPDIR", &folder.path().to_string_lossy()).start()
-    };
-    let first = launch(&calls);
-    until("it serves", || calls.check().then_some(()));
-    let second = Calls(free_address());
-    let other = launch(&second);
-    until("it serves", || second.check().then_some(()));
+    let processes = Processes::of(config(&feed, vec![host.entry("up", unix_ms())]));
+    let ((first, _), (other, _)) = (processes.start(), processes.start());
     first.logged("others=1");
     other.logged("others=1");
     let mut conns = [host.accept(), host.accept()];
