A first set-up that is half said keeps its connection in a drain; ending processes refuse orders

(1) Owner::busy took a connection on which nothing whole had come for spare after 100 ms, also in the middle of its first set-up: the owner is turned back unheard. (2) drain-on and drain-off were answered ok by a process that ends, where they do nothing. (3) drain-off took back the wish of a maintenance (`ctl maint`) to close connections that carry no task. Change: whether half a message has come is asked of the connection; such orders fail; both wishes are kept apart. Tests: (1) and (2) seen to fail without the change; (3) has none of its own. One test bound its port twice, which fails where another test starts a process in between (the child holds the first socket until exec): ports are bound once.

--- a/src/net/admin.rs
+++ b/src/net/admin.rs
@@ -106,6 +106,8 @@
                 self.on_duty(now, duty::Event::Asked);
                 return calls::reply(if serves { Ok(()) } else { Err("takes no requests") });
             }
+            // Nothing takes back what the module has been told to give up.
+            Call::DrainOn | Call::DrainOff if self.ends() => return calls::reply(Err("the process ends")),
             Call::DrainOn => self.on_duty(now, duty::Event::DrainOn),
             Call::DrainOff => self.on_duty(now, duty::Event::DrainOff),
         }
--- a/src/net/conn.rs
+++ b/src/net/conn.rs
@@ -207,6 +207,11 @@
         }
     }
 
+    /// Whether half a message has come.
+    pub fn half_said(&self) -> bool {
+        self.half_since.get().is_some()
+    }
+
     /// Ends a connection on which half a message has waited so long for its rest.
     pub fn end_if_half(&self, patience: Duration) {
         if self.half_since.get().is_some_and(|since| since.elapsed() > patience) {
--- a/src/net/dispatch.rs
+++ b/src/net/dispatch.rs
@@ -179,6 +179,8 @@
     company: Company,
     /// The listening socket is the platform's, and other processes of this placer accept from it.
     pub(super) inherits: bool,
+    /// Balancers' drain, or maintenance, wants connections closed that carry no task.
+    closes_idle: bool,
     /// Owners can connect.
     pub(super) listens: bool,
     /// What of the engine of overloads was logged.
@@ -237,6 +239,7 @@
             limits: config.limits,
             company,
             inherits: false,
+            closes_idle: false,
             listens: false,
             drained: false,
             logged: bounds::Logged::default(),
@@ -866,7 +869,10 @@
     fn follow(&mut self, now: Micros, tasks: Vec<Task>) {
         for task in tasks {
             match task {
-                Task::CloseIdle(close) => self.owners.close_idle(close || self.duty.empties()),
+                Task::CloseIdle(close) => {
+                    self.closes_idle = close;
+                    self.close_idle();
+                }
                 Task::Answer(within) => self.close_down(now, within),
                 Task::Exit(left) => {
                     self.drained = true;
--- a/src/net/dispatch/operating.rs
+++ b/src/net/dispatch/operating.rs
@@ -9,8 +9,17 @@
 impl Dispatch {
     /// Whether this process takes requests: what every test is told.
     pub fn serves(&self) -> bool {
-        let ends = self.closing.is_some();
-        self.listens && !ends && self.duty.serves() && self.watch.as_ref().is_none_or(Watch::serves)
+        self.listens && !self.ends() && self.duty.serves() && self.watch.as_ref().is_none_or(Watch::serves)
+    }
+
+    /// Whether this process has been told to end.
+    pub fn ends(&self) -> bool {
+        self.closing.is_some()
+    }
+
+    /// Closes connections that carry no task for as long as balancers' drain or maintenance or this duty wants it.
+    pub(super) fn close_idle(&mut self) {
+        self.owners.close_idle(self.closes_idle || self.duty.empties());
     }
 
     /// Whether owners' tests pass: the placer serves, if not this process.
@@ -63,11 +72,9 @@
     pub fn on_duty(&mut self, now: Micros, event: Event) {
         let before = self.duty.phase();
         match self.duty.handle(now, event) {
-            Some(Effect::Empty(empty)) => {
-                self.owners.close_idle(empty || self.watch.as_ref().is_some_and(Watch::draining));
-            }
+            Some(Effect::Empty(_)) => self.close_idle(),
             Some(Effect::Leave(within)) => {
-                self.owners.close_idle(true);
+                self.close_idle();
                 self.close_down(now, within);
             }
             None => {}
--- a/src/net/owners.rs
+++ b/src/net/owners.rs
@@ -70,8 +70,8 @@
     /// Whether something is open, half said, unsent or unread on it, or may come on it just now.
     fn busy(&self, now: Micros) -> bool {
         let young = !self.spoken && now - self.heard < YOUNG;
-        let half = self.spoken && self.half_since.is_some();
-        !self.open.is_empty() || young || half || !self.conn.flushed() || !self.conn.quiet()
+        let said = self.conn.flushed() && self.conn.quiet() && !self.conn.half_said();
+        !self.open.is_empty() || young || !said
     }
 }
 
--- a/tests/operating.rs
+++ b/tests/operating.rs
@@ -156,6 +156,9 @@
     let open = conns[0].offer();
     let whole = bytes(52, 9, &[(171, &[0])]);
     half.say(&whole[..5]);
+    // Its first message, which is half said for longer than a connection counts as new.
+    let mut fresh = program.owner();
+    fresh.say(&whole[..5]);
     assert!(calls.call("drain-on").starts_with("ok"));
     assert!(!calls.check(), "from its first moment on");
     // A connection that is new to it still gets its answer: the front may not have heard.
@@ -174,6 +177,8 @@
     assert_eq!(busy.read().kind, 12);
     busy.heard(2);
     assert_eq!(busy.next_message(), None);
+    fresh.say(&whole[5..]);
+    assert_eq!((fresh.read().kind, fresh.next_message()), (53, None));
     half.say(&whole[5..]);
     assert_eq!((half.read().kind, half.next_message()), (53, None));
     conns[0].down(&standing, 16, "");
@@ -215,7 +220,7 @@
 impl Processes {
     /// None yet, of a placer with this configuration.
     fn of(mut config: OwnedValue) -> Processes {
-        let listener = TcpListener::bind(free_address()).expect("a free port");
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let address = listener.local_addr().expect("an address").to_string();
         config.insert("listen", address).expect("an object");
         Processes { config, listener, folder: tempfile::tempdir().expect("a folder") }
@@ -258,6 +263,9 @@
     assert_eq!(idle.next_message(), None, "it carries no task");
     assert!(stood.test(), "the placer serves");
     assert!(!calls.check() && second.check(), "this process does not");
+    for order in ["drain-on", "drain-off"] {
+        assert_eq!(calls.call(order), "fail the process ends\n", "{order}");
+    }
     // Whoever comes now is the new one's.
     let mut next_conn = hosts[0].accept();
     let mut late = new.owner();
@@ -318,7 +326,7 @@
 fn a_descriptor_that_is_no_listening_socket_is_named() {
     let feed = Feed::new();
     let (config, _) = with_calls(config(&feed, Vec::new()));
-    let listener = TcpListener::bind(free_address()).expect("a free port");
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
     for (number, says) in [("5", "listens at"), ("4", "LB_ACCEPT_FD: 4: "), ("five", "LB_ACCEPT_FD: five: ")]
     {
         let out = Launch::new(&config).inherits(&listener).env("LB_ACCEPT_FD", number).output();
@@ -331,7 +339,7 @@
 fn a_process_that_can_not_meet_others_serves_and_says_so_once() {
     let feed = Feed::new();
     let (mut config, calls) = with_calls(config(&feed, Vec::new()));
-    let listener = TcpListener::bind(free_address()).expect("a free port");
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
     let address = listener.local_addr().expect("an address").to_string();
     config.insert("listen", address).expect("an object");
     let program = Launch::new(&config).inherits(&listener).env("TMPDIR", "/nowhere/at/all").start();
