A feed with a lasting gap is called with pauses; signals are taken over at once

Cause: feed::subscribe counted a line as told before it looked for a gap, and a call that was told something is made again without a pause: 440 calls in a second to a feed that tells event 9 after event 1 each time. CONNECT was 0.5 s, where a connection may take a second to come up. And net::serve registered the signals after the configuration was read: SIGHUP during that ended the process (a crash). Change: what can't be used does not count; CONNECT 1.2 s, which leaves 0.8 s of the 4 s after which a silent feed's words count as told; Signals is made first.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -166,6 +166,13 @@
 }
 
 fn serve(cli: &Cli) -> ExitCode {
+    let signals = match net::signals() {
+        Ok(signals) => signals,
+        Err(problem) => {
+            complain(&format!("anisehead: signals: {problem}"));
+            return ExitCode::FAILURE;
+        }
+    };
     let config = match config::load(cli.files.config.as_deref()) {
         Ok(config) => config,
         Err(problem) => {
@@ -188,7 +195,7 @@
     operator.log.format = cli.log.log_format.unwrap_or(operator.log.format);
     operator.log.level = cli.log.log_level.unwrap_or(operator.log.level);
     log::start(&operator.log);
-    let served = net::serve(config, cli.files.config.clone(), operator);
+    let served = net::serve(config, cli.files.config.clone(), operator, signals);
     let code = match served {
         Ok(()) => ExitCode::SUCCESS,
         Err(problem) => {
--- a/src/net/feed.rs
+++ b/src/net/feed.rs
@@ -14,8 +14,10 @@
 /// A line comes each second; a feed that tells nothing for so many looks is dead.
 const LOOK: Duration = Duration::from_millis(250);
 const SILENT_LOOKS: u32 = 7;
-const CONNECT: Duration = Duration::from_millis(500);
-/// Pause after a call that brought nothing. After one that did the feed is called again at once: what
+/// A connection may take a second to come up, and what a silent feed would tell counts as told after 4 s (the
+/// protocol's figures): of these the silence takes 2 s.
+const CONNECT: Duration = Duration::from_millis(1_200);
+/// Pause after a call that brought nothing of use. After one that did the feed is called again at once: what
 /// it tells counts as told soon after it broke off.
 const PAUSE: Duration = Duration::from_millis(150);
 
@@ -40,7 +42,8 @@
     }
 }
 
-/// One call, until it ends: whether it brought a line.
+/// One call, until it ends: whether it brought a line that could be used. Guards against a feed that leaves the
+/// same gap, or says the same bad line, each time that it is called: it is not called without a pause.
 async fn call(address: SocketAddr, last: &mut u64, shared: &Shared) -> bool {
     let connect = async { Async::<TcpStream>::connect(address).await.map_err(End::from) };
     let limit = async {
@@ -65,7 +68,6 @@
         while let Some(mut line) = next_line(inbox, feed::MOST_BYTES).map_err(End::Malformed)? {
             let mut dispatch = shared.borrow_mut();
             let line = feed::read(&mut line, dispatch.names()).map_err(End::Malformed)?;
-            told.set(told.get() + 1);
             dispatch.name_aside(&line.aside);
             match line.members {
                 Some(_) if line.number <= *last => {}
@@ -76,6 +78,7 @@
                 None if line.number <= *last => dispatch.feed_lives(),
                 _ => return Err(End::Gap),
             }
+            told.set(told.get() + 1);
         }
         Ok(())
     };
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -31,11 +31,21 @@
 use std::time::Duration;
 use tracing::{info, warn};
 
+/// Takes the signals over. Guards against one that comes during the start: a configuration to be read again would
+/// end the process.
+pub fn signals() -> io::Result<Signals> {
+    Signals::new([Signal::Term, Signal::Int, Signal::Hup])
+}
+
 /// Serves until a signal asks for the end and all that is owed is answered. `path` is where the
 /// configuration came from, for reading it again.
-pub fn serve(config: Config, path: Option<PathBuf>, operator: Operator) -> io::Result<()> {
+pub fn serve(
+    config: Config,
+    path: Option<PathBuf>,
+    operator: Operator,
+    mut signals: Signals,
+) -> io::Result<()> {
     let executor = Rc::new(LocalExecutor::new());
-    let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])?;
     let name = config.name.clone();
     let (listen, admin, feed, known_to) = (config.listen, config.admin, config.feed, config.known_to);
     let shared: Shared = Rc::new_cyclic(|me| {
