Endings of hosts, feed, process and floods under test; an offer that is not taken goes elsewhere

New tests for what was read and found to hold: words of a host that come in one read (answer twice and end, answer then spoilt or half a line, refusal then answer, error then refusal), an answer and the time-out in one turn, a whole list that no longer names a host with offers out (and the same event twice), a feed that moves while a call to it hangs, a task that ends while the process does, SIGTERM during the start, a flood of set-ups beside clients that send what can't be read. A host that reads nothing was no stable state for a test: its system took 1 MB. Host::narrow takes 4 KB.

--- a/crates/standin/src/feed.rs
+++ b/crates/standin/src/feed.rs
@@ -1,6 +1,6 @@
 //! The control feed.
 
-use crate::{Host, LIMIT, accept, listen};
+use crate::{Host, LIMIT, OutOfReach, accept, listen};
 use simd_json::prelude::*;
 use simd_json::{OwnedValue, json};
 use std::io::{BufRead, BufReader, Write};
@@ -41,6 +41,11 @@
         line.strip_prefix("SUB ").and_then(|n| n.trim_end().parse().ok()).expect("SUB N")
     }
 
+    /// From now on no connection to it comes up, and none is refused.
+    pub fn vanish(&self) -> OutOfReach {
+        OutOfReach::of(&self.listener)
+    }
+
     /// Breaks the subscription off when dropped.
     pub fn stream_taken(&mut self) -> Option<TcpStream> {
         self.stream.take()
--- a/crates/standin/src/host.rs
+++ b/crates/standin/src/host.rs
@@ -25,6 +25,13 @@
         Host { name: name.to_string(), zone, listener: listen() }
     }
 
+    /// The same, whose system takes little that it has not read.
+    pub fn narrow(name: &str, zone: &'static str) -> Host {
+        let host = Host::new(name, zone);
+        rustix::net::sockopt::set_socket_recv_buffer_size(&host.listener, 4_096).expect("a socket option");
+        host
+    }
+
     /// Its listener, for a host that runs by itself.
     pub(crate) fn listener(&self) -> TcpListener {
         self.listener.try_clone().expect("a socket")
@@ -54,13 +61,20 @@
 /// What keeps a host out of reach: connections that fill its accept queue.
 pub struct OutOfReach(Vec<TcpStream>);
 
+impl OutOfReach {
+    /// What listens here is out of reach.
+    pub(crate) fn of(listener: &TcpListener) -> OutOfReach {
+        rustix::net::listen(listener, 0).expect("a listener");
+        let address = listener.local_addr().expect("an address");
+        // One more than the queue takes, by the system's own count.
+        OutOfReach((0..2).filter_map(|_| TcpStream::connect_timeout(&address, VANISHED).ok()).collect())
+    }
+}
+
 impl Host {
     /// From now on no connection to it comes up, and none is refused.
     pub fn vanish(&self) -> OutOfReach {
-        rustix::net::listen(&self.listener, 0).expect("a listener");
-        let address = self.listener.local_addr().expect("an address");
-        // One more than the queue takes, by the system's own count.
-        OutOfReach((0..2).filter_map(|_| TcpStream::connect_timeout(&address, VANISHED).ok()).collect())
+        OutOfReach::of(&self.listener)
     }
 
     /// It is there again.
--- a/src/net/dispatch/links.rs
+++ b/src/net/dispatch/links.rs
@@ -257,7 +257,6 @@
             if dial.is_some() && link.dial != dial {
                 link.dial = dial;
                 link.conns().for_each(|conn| conn.stop(End::HostGone));
-                recalled.append(&mut link.waiting);
                 if link.hang_up() {
                     (link.failures, link.down_since) = (0, None);
                 }
--- a/src/net/owners.rs
+++ b/src/net/owners.rs
@@ -49,6 +49,10 @@
     }
 }
 
+/// How much of what a client has sent may be read before an offer for it leaves: more than a system's usual buffer.
+/// Guards the offers of a client that sends faster than it is read.
+const MOST_AHEAD: u64 = 256 * 1024;
+
 /// How far a client must be read until an offer for it may leave.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Mark {
@@ -56,6 +60,8 @@
     bytes: u64,
     /// Whether that was all that had come in then.
     whole: bool,
+    /// How far at the most.
+    most: u64,
 }
 
 /// Whether a client that waits for an answer is still there.
@@ -276,18 +282,21 @@
             owner.behind.insert(host.clone());
             return Presence::Unread(mark);
         }
-        let reached = mark.filter(|mark| owner.read >= mark.bytes);
-        match owner.conn.unread() {
-            Unread::End => Presence::Left,
-            Unread::Nothing => Presence::Here,
-            Unread::Bytes(_) if reached.is_some_and(|mark| mark.whole) => Presence::Here,
-            unread @ Unread::Bytes(count) => {
-                owner.behind.insert(host.clone());
-                let bytes = owner.read.saturating_add(count as u64);
-                let next = Mark { client: id, bytes, whole: unread.whole() };
-                Presence::Unread(mark.filter(|_| reached.is_none()).or(Some(next)))
-            }
+        let reached = |mark: Mark| mark.whole && owner.read >= mark.bytes || owner.read >= mark.most;
+        let count = match owner.conn.unread() {
+            Unread::End => return Presence::Left,
+            Unread::Nothing => return Presence::Here,
+            Unread::Bytes(_) if mark.is_some_and(reached) => return Presence::Here,
+            Unread::Bytes(count) => count,
+        };
+        owner.behind.insert(host.clone());
+        if mark.is_some_and(|mark| owner.read < mark.bytes) {
+            return Presence::Unread(mark);
         }
+        let most = mark.map_or(owner.read.saturating_add(MOST_AHEAD), |mark| mark.most);
+        let bytes = owner.read.saturating_add(count as u64);
+        let whole = Unread::Bytes(count).whole();
+        Presence::Unread(Some(Mark { client: id, bytes, whole, most }))
     }
 
     /// The owner has heard the end of this task.
@@ -560,3 +569,6 @@
         shared.borrow_mut().owners.lingering -= 1;
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/tests/endings.rs
+++ b/tests/endings.rs
@@ -8,6 +8,8 @@
 use standin::*;
 use std::fs::OpenOptions;
 use std::io::Write;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 /// Ids of the request that comes last and shows that nothing else was under way.
@@ -166,26 +168,59 @@
 // What a host has not taken yet could not be taken back: its client's cancel went behind it.
 #[test]
 fn an_offer_that_a_slow_host_has_not_taken_is_not_sent_once_its_client_has_left() {
-    let (program, _feed, hosts, mut conns) = start(1);
+    let mut feed = Feed::new();
+    let hosts = [Host::narrow("h0", "north")];
+    let mut config = config(&feed, vec![hosts[0].entry("up", 0)]);
+    // No other connection to the host is tried in the time of the test.
+    config["settings"]["caps"]["connect_timeout"] = json!(20_000.0);
+    let program = Program::start(&config);
+    feed.subscribed();
+    let mut conns = vec![hosts[0].accept()];
     let mut owner = known(&program);
     let wide = "w".repeat(15_000);
     // The host reads nothing, until more is queued for it than the system takes.
-    for id in 1..=80 {
+    for id in 1..=30 {
         owner.set_up_with(id, &ask(id), &wide);
         assert!(owner.test());
         owner.release(id, 16);
     }
-    // One closes its connection and one cancels, before another connection to the host is tried.
+    // One closes its connection and one cancels.
     let mut closes = known(&program);
-    closes.set_up(0x90, &ask(0x90));
-    owner.set_up(0x91, &ask(0x91));
+    closes.set_up(0x990, &ask(0x990));
+    owner.set_up(0x991, &ask(0x991));
     assert!(closes.test() && owner.test(), "the set-ups were taken in");
     drop(closes);
-    owner.release(0x91, 16);
+    owner.release(0x991, 16);
     program.logged("reason=closed");
     let offered = offered_until_last(&program, &hosts, &mut conns);
     assert!(offered.contains(&hex(1)), "{offered:?}");
-    assert!([0x90, 0x91].iter().all(|id| !offered.contains(&hex(*id))), "{offered:?}");
+    assert!([0x990, 0x991].iter().all(|id| !offered.contains(&hex(*id))), "{offered:?}");
+}
+
+// A host that takes nothing is as good as out of reach: what waits for it goes elsewhere.
+#[test]
+fn an_offer_that_a_host_does_not_take_goes_elsewhere_soon() {
+    let mut feed = Feed::new();
+    let hosts = [Host::narrow("h0", "north"), Host::new("h1", "north")];
+    let known_hosts = vec![hosts[0].entry("up", 0), hosts[1].entry("draining", 0)];
+    let program = Program::start(&config(&feed, known_hosts));
+    feed.subscribed();
+    let _reads_nothing = hosts[0].accept();
+    let mut owner = known(&program);
+    let wide = "w".repeat(15_000);
+    for id in 1..=30 {
+        owner.set_up_with(id, &ask(id), &wide);
+        assert!(owner.test());
+        owner.release(id, 16);
+    }
+    owner.set_up(0x990, &ask(0x990));
+    feed.event(2, &hosts[1], "up");
+    let start = Instant::now();
+    let mut conn = hosts[1].accept();
+    assert_eq!(conn.offer(), hex(0x990));
+    assert!(start.elapsed() < Duration::from_secs(1), "{:?}", start.elapsed());
+    conn.up(&hex(0x990));
+    assert_eq!(until("the answer", || Some(owner.read()).filter(|word| word.kind == 9)).id, 0x990);
 }
 
 #[test]
@@ -213,18 +248,29 @@
 
 // A client that goes on talking is still there: what it says later does not hold its offer up.
 #[test]
-fn a_client_that_says_more_at_once_gets_its_attempt() {
+fn a_client_that_never_pauses_gets_its_attempt() {
     let (program, _feed, _hosts, mut conns) = start(1);
     let mut owner = known(&program);
-    program.stopped(|| {
-        owner.set_up(1, &ask(1));
-        (0..2_000).for_each(|_| owner.heard(77));
-        owner.set_up(2, &ask(2));
-        owner.say(&[0, 200, 1]);
+    let mut talks = Owner(owner.0.try_clone().expect("a socket"));
+    let flood: Vec<u8> = (0..1_000).flat_map(|_| bytes(16, 77, &[])).collect();
+    let over = Arc::new(AtomicBool::new(false));
+    let told = over.clone();
+    let thread = std::thread::spawn(move || {
+        for id in 1..=5 {
+            talks.set_up(id, &ask(id));
+            talks.say(&flood);
+        }
+        while !told.load(Ordering::Relaxed) {
+            talks.say(&flood);
+        }
     });
-    let mut ids = [conns[0].offer(), conns[0].offer()];
+    let mut ids: Vec<String> = (0..5).map(|_| conns[0].offer()).collect();
+    over.store(true, Ordering::Relaxed);
+    thread.join().expect("it wrote");
     ids.sort();
-    assert_eq!(ids, [hex(1), hex(2)]);
+    assert_eq!(ids, (1..=5).map(hex).collect::<Vec<_>>());
+    ids.iter().for_each(|id| conns[0].up(id));
+    (1..=5).for_each(|_| assert_eq!(owner.read().kind, 9));
 }
 
 // ---- Hosts ----
@@ -262,6 +308,9 @@
         }
         feed.tell(&json!({ "n": 2 }));
         assert!(owner.test());
+        // Nor what is offered to it from now on, where it has another address.
+        owner.set_up(2, &ask(2));
+        assert!(owner.test());
         host.come_back(held);
         if let Some(mut conn) = host.accept_within(Duration::from_millis(1_500)) {
             assert!(conn.read_within(QUIET).is_none(), "{change}");
@@ -284,6 +333,102 @@
     assert_eq!(owner.read().kind, 9);
 }
 
+// Words of a host that come in one read, in every order that could be taken for something else.
+#[test]
+fn words_of_a_host_in_one_read_end_an_attempt_once() {
+    let up = |id: &str| format!("{{\"t\":\"up\",\"ref\":\"{id}\",\"f\":{{}},\"d\":\"stands\"}}\n");
+    let down =
+        |id: &str, cause: u8| format!("{{\"t\":\"down\",\"ref\":\"{id}\",\"f\":{{}},\"c\":{cause}}}\n");
+    let id = hex(1);
+    // What the host says, the client's words (type and cause), and whether the host is asked once more.
+    let cases: [(&str, String, &[(u8, u8)], bool); 5] = [
+        ("answered twice and ended", up(&id) + &up(&id) + &down(&id, 16), &[(9, 0), (12, 16)], false),
+        ("answered, and then spoilt", up(&id) + "\u{1}\u{2}\n", &[(9, 0)], false),
+        ("answered, and half of another", up(&id) + "{\"t\":\"up\",\"re", &[(9, 0)], false),
+        ("refused, and then answered", down(&id, 34) + &up(&id), &[], true),
+        ("an error, and then a refusal", down(&id, 47) + &down(&id, 34), &[], true),
+    ];
+    for (what, said, words, again) in cases {
+        let (program, _feed, _hosts, mut conns) = start(2);
+        let mut owner = known(&program);
+        owner.set_up(1, &ask(1));
+        let (at, offer) = offered(&mut conns);
+        assert_eq!(offer, id);
+        // It has closed the connection, too, before a word of it is read.
+        let mut conn = conns.remove(at);
+        program.stopped(|| {
+            conn.raw(said.as_bytes());
+            drop(conn);
+        });
+        if again {
+            assert_eq!(conns[0].offer(), id, "{what}");
+            conns[0].up(&id);
+            assert_eq!(owner.read().kind, 9, "{what}");
+        }
+        for (kind, cause) in words {
+            let word = owner.read();
+            assert_eq!(
+                (word.kind, if word.kind == 12 { word.cause() } else { 0 }),
+                (*kind, *cause),
+                "{what}"
+            );
+        }
+        assert!(owner.test(), "nothing else was said: {what}");
+    }
+}
+
+// The host's answer has come and the client's time is over when both are read.
+#[test]
+fn an_answer_and_the_time_out_in_one_turn_give_one_final_answer() {
+    let (program, _feed, _hosts, mut conns) = start(1);
+    let mut owner = known(&program);
+    owner.set_up(1, &Ask { wait_ms: 300, ..ask(1) });
+    let id = conns[0].offer();
+    program.stopped(|| {
+        conns[0].up(&id);
+        std::thread::sleep(Duration::from_millis(350));
+    });
+    let answer = owner.read();
+    assert!(owner.test(), "one answer");
+    // What was answered as failed does not stand on.
+    if answer.kind == 12 {
+        assert_eq!(conns[0].expect("down").get_str("ref"), Some(id.as_str()));
+    } else {
+        assert_eq!(answer.kind, 9);
+    }
+}
+
+#[test]
+fn a_whole_list_that_no_longer_names_a_host_ends_what_is_out_there() {
+    let (program, mut feed, hosts, mut conns) = start(2);
+    let mut owner = known(&program);
+    owner.set_up(1, &ask(1));
+    let (at, id) = offered(&mut conns);
+    owner.set_up(2, &Ask { service: 102, ..ONCE });
+    let (other, once) = offered(&mut conns);
+    // Twice, and the second tells nothing new.
+    let rest: Vec<_> = (0..2).filter(|n| *n != at).map(|n| hosts[n].entry("up", 0)).collect();
+    feed.tell(&event(2, true, rest.clone()));
+    feed.tell(&event(2, true, rest));
+    assert!(conns[at].ended());
+    let left = 1 - at;
+    assert_eq!(
+        conns[left].read_within(LIMIT).and_then(|m| m.get_str("ref").map(str::to_string)),
+        Some(id.clone())
+    );
+    conns[left].up(&id);
+    if other == at {
+        // It may have run there.
+        let words = [owner.read(), owner.read()].map(|word| (word.id, word.kind));
+        assert!(words.contains(&(1, 9)) && words.contains(&(2, 12)), "{words:?}");
+    } else {
+        assert_eq!(owner.read().kind, 9);
+        conns[left].up(&once);
+        assert_eq!(owner.read().kind, 9);
+    }
+    assert!(owner.test());
+}
+
 // ---- The subscription ----
 
 #[test]
@@ -302,6 +447,30 @@
     assert!(known(&program).test());
 }
 
+// The address that is called does not answer, and the configuration names another.
+#[test]
+fn a_feed_that_moves_while_a_call_to_it_hangs_is_followed_at_once() {
+    let (program, mut feed, hosts, mut conns) = start(1);
+    let second = Feed::new();
+    let mut config = config(&second, vec![hosts[0].entry("up", 0)]);
+    config["listen"] = program.address.to_string().into();
+    let held = feed.vanish();
+    drop(feed.stream_taken());
+    program.logged("connection ended peer=\"feed\"");
+    let mut second = second;
+    let moved = Instant::now();
+    program.reload(&config.encode());
+    assert_eq!(second.subscribed(), 1);
+    assert!(moved.elapsed() < Duration::from_millis(500), "{:?}", moved.elapsed());
+    second.event(2, &hosts[0], "draining");
+    second.tell(&json!({ "n": 2 }));
+    let mut owner = known(&program);
+    owner.set_up(1, &Ask { wait_ms: 300, ..ask(1) });
+    assert_eq!(owner.read().kind, 12);
+    assert!(conns[0].read_within(Duration::from_millis(20)).is_none());
+    drop(held);
+}
+
 // Idle clients took the descriptors while few hosts were listed.
 #[test]
 fn idle_clients_at_the_limit_keep_neither_the_feed_nor_hosts_nor_others_out() {
@@ -365,6 +534,81 @@
     assert!(program.exit().success());
 }
 
+// The end of a task is heard while the process ends, and told before it has.
+#[test]
+fn the_end_of_a_task_that_comes_while_the_process_ends_is_told() {
+    let (mut program, _feed, _hosts, mut conns) = start(1);
+    let mut owner = known(&program);
+    owner.set_up(1, &ask(1));
+    let id = conns[0].offer();
+    conns[0].up(&id);
+    assert_eq!(owner.read().kind, 9);
+    program.terminate();
+    program.logged("closing");
+    program.stopped(|| conns[0].down(&id, 16, ""));
+    let end = owner.read();
+    assert_eq!((end.kind, end.id, end.cause()), (12, 1, 16));
+    assert!(program.exit().success());
+}
+
+// SIGTERM comes when the program has just begun to read its file: it starts, and ends as it should.
+#[test]
+fn a_process_that_is_to_end_while_it_starts_ends_in_order() {
+    let feed = Feed::new();
+    let host = Host::new("h0", "north");
+    let config = config(&feed, vec![host.entry("up", 0)]);
+    let pipe = scratch("pipe");
+    let made = std::process::Command::new("mkfifo").arg(&pipe).status();
+    assert!(made.expect("mkfifo runs").success());
+    let mut program = Launch::new(&config).env("LB_CONFIG", &pipe.to_string_lossy()).start();
+    let mut file = OpenOptions::new().write(true).open(&pipe).expect("it reads");
+    program.terminate();
+    file.write_all(config.encode().as_bytes()).expect("it reads");
+    drop(file);
+    // Who connects meanwhile is answered.
+    let mut owner = program.owner();
+    owner.set_up(1, &ask(1));
+    let mut conn = host.accept();
+    let id = conn.offer();
+    conn.up(&id);
+    assert_eq!(owner.read().kind, 9);
+    assert!(program.exit().success());
+    let _ = std::fs::remove_file(&pipe);
+}
+
+// Far more than can be placed, beside clients that send what can't be read.
+#[test]
+fn in_a_flood_every_set_up_gets_its_one_answer_in_time() {
+    let mut feed = Feed::new();
+    let host = Host::new("h0", "north");
+    let config = config(&feed, vec![host.entry("up", 0)]);
+    let program = Program::start(&config);
+    feed.subscribed();
+    let _conn = host.accept();
+    let mut good: Vec<Owner> = (0..20).map(|_| known(&program)).collect();
+    let mut bad: Vec<Owner> = (0..20).map(|_| known(&program)).collect();
+    let wait = Duration::from_millis(900);
+    let start = Instant::now();
+    for n in 0..30 {
+        for (at, owner) in good.iter_mut().enumerate() {
+            let id = 1 + at as u64 * 100 + n;
+            owner.set_up(id, &Ask { wait_ms: 900, ..ask(id) });
+        }
+        for owner in &mut bad {
+            let _ = owner.0.write_all(&[0xff; 600]);
+        }
+    }
+    let sent = start.elapsed();
+    for owner in &mut good {
+        let mut ids: Vec<u64> = (0..30).map(|_| owner.read().id).collect();
+        ids.sort_unstable();
+        ids.dedup();
+        assert_eq!(ids.len(), 30);
+        assert!(start.elapsed() < sent + wait + Duration::from_millis(50), "{:?} {sent:?}", start.elapsed());
+        assert!(owner.test());
+    }
+}
+
 // The platform ends a process after the longest wait of a client and 0.7 s more.
 #[test]
 fn where_clients_wait_for_a_short_time_the_process_ends_soon() {
