--- a/src/cli.rs
+++ b/src/cli.rs
@@ -21,7 +21,7 @@
 /// No reply is longer: figures of some hundred classes.
 const MOST_REPLY: u64 = 1024 * 1024;
 
-/// A task placer: takes tasks from owners, offers each to one host at a time, and answers exactly once.
+/// A task placer: takes tasks from clients, offers each to one host at a time, and answers exactly once.
 ///
 /// Without a command it serves on the configuration that LB_CONFIG names.
 #[derive(Debug, Parser)]
@@ -145,10 +145,10 @@
     let health = &operator.health;
     for (field, addresses) in [("health.agent", &health.agent), ("health.http", &health.http)] {
         if addresses.contains(&config.listen) {
-            found.push((field, format!("{} is where owners connect (listen)", config.listen)));
+            found.push((field, format!("{} is where clients connect (listen)", config.listen)));
         }
     }
-    // Owners hold at most a third of the descriptors; hosts and the placer itself need theirs.
+    // Clients hold at most a third of the descriptors; hosts and the placer itself need theirs.
     let most = config.limits.sockets / 4;
     if health.listens() && health.connections > most {
         let what = format!(
@@ -275,29 +275,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn the_command_line_holds_together() {
-        Cli::command().debug_assert();
-        for words in [
-            &["anisehead"][..],
-            &["anisehead", "serve", "--operator", "f.toml"],
-            &["anisehead", "--operator", "f.toml", "check"],
-            &["anisehead", "ctl", "state", "--json", "--socket", "/run/s"],
-            &["anisehead", "completions", "bash"],
-            &["anisehead", "call", "--at", "127.0.0.1:9600", "drain-on"],
-        ] {
-            assert!(Cli::try_parse_from(words).is_ok(), "{words:?}");
-        }
-        for words in [
-            &["anisehead", "sevre"][..],
-            &["anisehead", "--log-level", "loud"],
-            &["anisehead", "ctl"],
-            &["anisehead", "call", "--at", "127.0.0.1:1", "drain"],
-        ] {
-            assert!(Cli::try_parse_from(words).is_err(), "{words:?}");
-        }
-    }
-}
+mod tests;
--- a/src/facade.rs
+++ b/src/facade.rs
@@ -28,7 +28,7 @@
     }
 }
 
-/// A task to place, with the names that its owner gave.
+/// A task to place, with the names that its client gave.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Ask {
     /// The class, as the settings name it.
@@ -43,9 +43,9 @@
     pub cores: f64,
     /// Memory asked for.
     pub memory: f64,
-    /// Time until the owner gives up.
+    /// Time until the client gives up.
     pub budget: Micros,
-    /// Marked by its owner as a repeat.
+    /// Marked by its client as a repeat.
     pub resent: bool,
 }
 
@@ -96,7 +96,7 @@
         /// The figure.
         value: f64,
     },
-    /// The owner gave up; no answer is owed.
+    /// The client gave up; no answer is owed.
     GivenUp(Ticket),
     /// The whole list of hosts, as configured at start.
     Known(Vec<Entry>),
@@ -131,7 +131,7 @@
     Refuse {
         /// The ask.
         ticket: Ticket,
-        /// How long the owner should stay away; 0: no word.
+        /// How long the client should stay away; 0: no word.
         retry_after: Micros,
     },
     /// Final: failed.
@@ -139,7 +139,7 @@
         /// The ask.
         ticket: Ticket,
     },
-    /// Stop a task that stands; its owner asks again.
+    /// Stop a task that stands; its client asks again.
     Move {
         /// The ask.
         ticket: Ticket,
@@ -233,7 +233,7 @@
         self.most.get(self.class(class)?).map(|most| most.aim)
     }
 
-    /// The longest that an owner of any class waits.
+    /// The longest that a client of any class waits.
     pub fn longest(&self) -> Micros {
         self.most.iter().map(|most| most.deadline).max().unwrap_or(0)
     }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -114,7 +114,7 @@
 pub struct Class {
     /// A first start within this time earns its full worth.
     pub aim: Micros,
-    /// How long an owner waits for a placement.
+    /// How long a client waits for a placement.
     pub deadline: Micros,
     /// The part of a start's worth that is left between aim and deadline.
     pub late_worth: f64,
@@ -185,7 +185,7 @@
     pub probes: bool,
     /// Whether an attempt may be cancelled.
     pub cancel: bool,
-    /// Whether owners are told when to come back.
+    /// Whether clients are told when to come back.
     pub retry_after: bool,
     /// Longest `retry_after` that is honoured.
     pub max_retry_after: Micros,
@@ -213,7 +213,7 @@
     pub mean_cores: f64,
     /// Mean memory asked by a task.
     pub mean_memory: f64,
-    /// How long an owner waits after an attempt that may have run.
+    /// How long a client waits after an attempt that may have run.
     pub settle: Micros,
     /// Answers this long after a deadline are still in time.
     pub answer_slack: Micros,
@@ -308,7 +308,7 @@
     pub memory: f64,
     /// Expected remaining run time in seconds, where told.
     pub hint: Option<f64>,
-    /// Time until its owner gives up.
+    /// Time until its client gives up.
     pub budget: Micros,
     /// A client's repeat.
     pub resent: bool,
@@ -316,7 +316,7 @@
     pub came_back: bool,
     /// Its place in the order of shedding, from 0, let through first, to 1.
     pub order: f64,
-    /// How long its owner should stay away if it is refused; 0: as the module sees fit.
+    /// How long its client should stay away if it is refused; 0: as the module sees fit.
     pub away: Micros,
 }
 
@@ -372,7 +372,7 @@
     ConnectFailed,
     /// Cut off.
     Reset,
-    /// Abandoned, moved or stopped by its owner.
+    /// Abandoned, moved or stopped by its client.
     Cancelled,
     /// Not sent; never ran.
     Moot,
@@ -536,7 +536,7 @@
         /// The ask.
         id: ReqId,
     },
-    /// Stop a placed task so that its owner asks again.
+    /// Stop a placed task so that its client asks again.
     Move {
         /// The ask.
         id: ReqId,
--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -197,7 +197,7 @@
     /// The attempt that has no outcome yet, and its machine.
     pub out: Option<(u32, Option<Place>)>,
     pub placed: bool,
-    /// A final answer has been given, or the owner is gone.
+    /// A final answer has been given, or the client is gone.
     pub closed: bool,
     /// Machine and send time of the first attempt that may have run.
     pub may_have_run: Option<(Option<Place>, Micros)>,
@@ -288,7 +288,7 @@
         self.all.insert(task.id.clone(), job);
     }
 
-    /// The owner wants no answer any more; an attempt that is out still gets its outcome.
+    /// The client wants no answer any more; an attempt that is out still gets its outcome.
     pub fn close(&mut self, id: &ReqId) {
         match self.all.get_mut(id) {
             Some(job) if job.out.is_some() => job.closed = true,
--- a/src/net/admin.rs
+++ b/src/net/admin.rs
@@ -1,10 +1,10 @@
 //! Where operators call: one line a connection, and its reply.
 
+use super::clients::AcceptFailed;
 use super::codec;
 use super::dispatch::{Dispatch, Shared};
-use super::health::farewell;
 use super::health::gate::{Gate, Place};
-use super::owners::AcceptFailed;
+use super::health::linger;
 use anisehead::Micros;
 use anisehead::operation::calls::{self, Call};
 use anisehead::operation::duty;
@@ -60,7 +60,7 @@
     };
     let called = async {
         let reason = call(&stream, &shared).await;
-        farewell(&stream).await;
+        linger(&stream).await;
         reason
     };
     let reason = future::or(called, away).await;
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -1,4 +1,4 @@
-//! Connections from owners: accepting, reading, and where a task's end is told.
+//! Connections from clients: accepting, reading, and where a task's end is told.
 
 use super::codec::{TaskId, binary};
 use super::conn::{Conn, End, Unread};
@@ -26,24 +26,24 @@
 pub const STUCK: Micros = 5_000_000;
 /// How long a word on a task that stood is kept for the case that its connection ends unread.
 const UNHEARD: Micros = 10_000_000;
-/// How long a word on a task that stood may be on its way to its owner.
+/// How long a word on a task that stood may be on its way to its client.
 const UNREAD: Micros = 1_000_000;
-/// Connections that may wait to be accepted. The standard library asks for 128, and owners come back by
+/// Connections that may wait to be accepted. The standard library asks for 128, and clients come back by
 /// hundreds where placers were killed together; the system takes off what is over its own bound.
 const BACKLOG: i32 = 4_096;
 /// Connections that are accepted in one turn.
 const ACCEPTS: usize = 16;
 /// At the end of the process peers get so many times so long to close after we have.
-const FAREWELLS: u32 = 10;
-const FAREWELL: Duration = Duration::from_millis(10);
+const LINGERS: u32 = 10;
+const LINGER: Duration = Duration::from_millis(10);
 /// Pause after a failed accept, where nothing could make room.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
 /// Numbers a connection for the life of the process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub struct OwnerId(u64);
+pub struct ClientId(u64);
 
-impl std::fmt::Display for OwnerId {
+impl std::fmt::Display for ClientId {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         write!(f, "{}", self.0)
     }
@@ -56,7 +56,7 @@
 /// How far a client must be read until an offer for it may leave.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Mark {
-    client: OwnerId,
+    client: ClientId,
     bytes: u64,
     /// Whether that was all that had come in then.
     whole: bool,
@@ -75,7 +75,7 @@
     Unread(Option<Mark>),
 }
 
-struct Owner {
+struct Client {
     conn: Rc<Conn>,
     /// Set-ups on it that wait for their answer.
     open: BTreeSet<Ticket>,
@@ -84,7 +84,7 @@
     half_since: Option<Micros>,
     /// A whole message has come.
     spoken: bool,
-    /// One has come that only owners send: it is no front's that does nothing but test.
+    /// One has come that only clients send: it is no front's that does nothing but test.
     asks: bool,
     /// A task stands that was set up or named on it.
     proven: bool,
@@ -98,7 +98,7 @@
     behind: BTreeSet<HostId>,
 }
 
-impl Owner {
+impl Client {
     /// Whether something is open, half said, unsent or unread on it, or may come on it just now.
     fn busy(&self, now: Micros) -> bool {
         let young = !self.spoken && now - self.heard < YOUNG;
@@ -107,18 +107,18 @@
     }
 }
 
-/// The end of a task as it was told, until its owner has heard it.
+/// The end of a task as it was told, until its client has heard it.
 struct Told {
-    owner: OwnerId,
+    client: ClientId,
     bytes: Vec<u8>,
     since: Micros,
 }
 
-/// All connections from owners.
-pub struct Owners {
-    all: BTreeMap<OwnerId, Owner>,
+/// All connections from clients.
+pub struct Clients {
+    all: BTreeMap<ClientId, Client>,
     next: u64,
-    /// Words on tasks that stood, for the next connection of an owner.
+    /// Words on tasks that stood, for the next connection of a client.
     unsent: Vec<(TaskId, Vec<u8>)>,
     /// The same, sent and not heard yet.
     told: BTreeMap<TaskId, Told>,
@@ -132,11 +132,11 @@
     close_idle: bool,
 }
 
-impl Owners {
+impl Clients {
     /// Connections within so many descriptors of the whole process, less those set apart.
-    pub fn new(sockets: usize, apart: usize) -> Owners {
+    pub fn new(sockets: usize, apart: usize) -> Clients {
         let (all, told) = (BTreeMap::new(), BTreeMap::new());
-        Owners { all, next: 0, unsent: Vec::new(), told, sockets, lingering: 0, apart, close_idle: false }
+        Clients { all, next: 0, unsent: Vec::new(), told, sockets, lingering: 0, apart, close_idle: false }
     }
 
     /// Closes connections that carry no task, from now on or no more.
@@ -152,11 +152,11 @@
         if !self.close_idle {
             return;
         }
-        let told: BTreeSet<OwnerId> =
-            self.told.values().filter(|told| now - told.since < YOUNG).map(|told| told.owner).collect();
-        for (id, owner) in self.all.iter().filter(|(_, o)| o.stand == 0 && !o.conn.stopping()) {
-            if !told.contains(id) && !owner.busy(now) {
-                owner.conn.stop(End::Draining);
+        let told: BTreeSet<ClientId> =
+            self.told.values().filter(|told| now - told.since < YOUNG).map(|told| told.client).collect();
+        for (id, client) in self.all.iter().filter(|(_, o)| o.stand == 0 && !o.conn.stopping()) {
+            if !told.contains(id) && !client.busy(now) {
+                client.conn.stop(End::Draining);
             }
         }
     }
@@ -167,20 +167,20 @@
     }
 
     /// A task that was set up or named on it stands, or no longer does.
-    pub fn count_standing(&mut self, id: OwnerId, stands: bool) {
-        if let Some(owner) = self.all.get_mut(&id) {
-            owner.stand = if stands { owner.stand + 1 } else { owner.stand.saturating_sub(1) };
+    pub fn count_standing(&mut self, id: ClientId, stands: bool) {
+        if let Some(client) = self.all.get_mut(&id) {
+            client.stand = if stands { client.stand + 1 } else { client.stand.saturating_sub(1) };
         }
     }
 
-    /// Words on tasks that stood which no owner has taken, or may not have read yet.
+    /// Words on tasks that stood which no client has taken, or may not have read yet.
     pub fn untold(&self, now: Micros) -> usize {
         self.unsent.len() + self.told.values().filter(|told| now - told.since < UNREAD).count()
     }
 
     /// Connections whose queue is not empty.
     pub fn unflushed(&self) -> usize {
-        self.all.values().filter(|owner| !owner.conn.flushed()).count()
+        self.all.values().filter(|client| !client.conn.flushed()).count()
     }
 
     /// Sets the descriptors of the whole process.
@@ -189,10 +189,10 @@
     }
 
     /// Takes in a connection.
-    pub fn opened(&mut self, now: Micros, conn: Rc<Conn>) -> OwnerId {
-        let id = OwnerId(self.next);
+    pub fn opened(&mut self, now: Micros, conn: Rc<Conn>) -> ClientId {
+        let id = ClientId(self.next);
         self.next += 1;
-        let owner = Owner {
+        let client = Client {
             conn,
             open: BTreeSet::new(),
             heard: now,
@@ -205,15 +205,16 @@
             reading: false,
             behind: BTreeSet::new(),
         };
-        self.all.insert(id, owner);
+        self.all.insert(id, client);
         id
     }
 
     /// Forgets a connection that has ended, and tells which set-ups wait on it. Guards against the end of a task that was written to it and
     /// not heard: it is told again on another.
-    pub fn ended(&mut self, now: Micros, id: OwnerId) -> BTreeSet<Ticket> {
-        let open = self.all.remove(&id).map(|owner| owner.open).unwrap_or_default();
-        let unheard: Vec<TaskId> = self.told.iter().filter(|(_, t)| t.owner == id).map(|(k, _)| *k).collect();
+    pub fn ended(&mut self, now: Micros, id: ClientId) -> BTreeSet<Ticket> {
+        let open = self.all.remove(&id).map(|client| client.open).unwrap_or_default();
+        let unheard: Vec<TaskId> =
+            self.told.iter().filter(|(_, t)| t.client == id).map(|(k, _)| *k).collect();
         for task in unheard {
             if let Some(told) = self.told.remove(&task) {
                 self.send_any(now, task, told.bytes);
@@ -222,10 +223,10 @@
         open
     }
 
-    /// What only owners send came in on it: it is told what found no other. Guards the words on ended tasks
+    /// What only clients send came in on it: it is told what found no other. Guards the words on ended tasks
     /// against fronts, which test on connections of their own and read nothing but the result.
-    pub fn asked(&mut self, now: Micros, id: OwnerId) {
-        let first = self.all.get_mut(&id).is_some_and(|owner| !std::mem::replace(&mut owner.asks, true));
+    pub fn asked(&mut self, now: Micros, id: ClientId) {
+        let first = self.all.get_mut(&id).is_some_and(|client| !std::mem::replace(&mut client.asks, true));
         if first {
             for (task, bytes) in std::mem::take(&mut self.unsent) {
                 self.send_any(now, task, bytes);
@@ -234,12 +235,12 @@
     }
 
     /// Whole messages came in on it, and whether half of another did.
-    pub fn heard(&mut self, now: Micros, id: OwnerId, whole: bool, half: bool) {
-        if let Some(owner) = self.all.get_mut(&id) {
+    pub fn heard(&mut self, now: Micros, id: ClientId, whole: bool, half: bool) {
+        if let Some(client) = self.all.get_mut(&id) {
             if whole {
-                (owner.heard, owner.spoken) = (now, true);
+                (client.heard, client.spoken) = (now, true);
             }
-            owner.half_since = match owner.half_since {
+            client.half_since = match client.half_since {
                 Some(since) if half && !whole => Some(since),
                 _ => half.then_some(now),
             };
@@ -247,24 +248,24 @@
     }
 
     /// A word of it is taken in, and others that came with it may follow.
-    pub fn reads(&mut self, id: OwnerId) {
-        if let Some(owner) = self.all.get_mut(&id) {
-            owner.reading = true;
+    pub fn reads(&mut self, id: ClientId) {
+        if let Some(client) = self.all.get_mut(&id) {
+            client.reading = true;
         }
     }
 
     /// All that came with the last read was taken in, so many bytes: the hosts where offers waited for that.
-    pub fn read(&mut self, id: OwnerId, bytes: usize) -> BTreeSet<HostId> {
-        let Some(owner) = self.all.get_mut(&id) else { return BTreeSet::new() };
-        owner.reading = false;
-        owner.read = owner.read.saturating_add(bytes as u64);
-        std::mem::take(&mut owner.behind)
+    pub fn read(&mut self, id: ClientId, bytes: usize) -> BTreeSet<HostId> {
+        let Some(client) = self.all.get_mut(&id) else { return BTreeSet::new() };
+        client.reading = false;
+        client.read = client.read.saturating_add(bytes as u64);
+        std::mem::take(&mut client.behind)
     }
 
     /// An offer for it waits at a host until it has been read.
-    pub fn waits_behind(&mut self, id: OwnerId, host: &HostId) {
-        if let Some(owner) = self.all.get_mut(&id) {
-            owner.behind.insert(host.clone());
+    pub fn waits_behind(&mut self, id: ClientId, host: &HostId) {
+        if let Some(client) = self.all.get_mut(&id) {
+            client.behind.insert(host.clone());
         }
     }
 
@@ -273,94 +274,94 @@
     /// after a stall of this process hosts may be heard before clients are. What the client had said by the time
     /// of the first look (`mark`) is read before the offer leaves; what it says later is not waited for, or one
     /// that never pauses would hold its own offers up.
-    pub fn presence(&mut self, id: OwnerId, mark: Option<Mark>, host: &HostId) -> Presence {
-        let Some(owner) = self.all.get_mut(&id).filter(|owner| !owner.conn.stopping()) else {
+    pub fn presence(&mut self, id: ClientId, mark: Option<Mark>, host: &HostId) -> Presence {
+        let Some(client) = self.all.get_mut(&id).filter(|client| !client.conn.stopping()) else {
             return Presence::Left;
         };
         let mark = mark.filter(|mark| mark.client == id);
-        if owner.reading {
-            owner.behind.insert(host.clone());
+        if client.reading {
+            client.behind.insert(host.clone());
             return Presence::Unread(mark);
         }
-        let reached = |mark: Mark| mark.whole && owner.read >= mark.bytes || owner.read >= mark.most;
-        let count = match owner.conn.unread() {
+        let reached = |mark: Mark| mark.whole && client.read >= mark.bytes || client.read >= mark.most;
+        let count = match client.conn.unread() {
             Unread::End => return Presence::Left,
             Unread::Nothing => return Presence::Here,
             Unread::Bytes(_) if mark.is_some_and(reached) => return Presence::Here,
             Unread::Bytes(count) => count,
         };
-        owner.behind.insert(host.clone());
-        if mark.is_some_and(|mark| owner.read < mark.bytes) {
+        client.behind.insert(host.clone());
+        if mark.is_some_and(|mark| client.read < mark.bytes) {
             return Presence::Unread(mark);
         }
-        let most = mark.map_or(owner.read.saturating_add(MOST_AHEAD), |mark| mark.most);
-        let bytes = owner.read.saturating_add(count as u64);
+        let most = mark.map_or(client.read.saturating_add(MOST_AHEAD), |mark| mark.most);
+        let bytes = client.read.saturating_add(count as u64);
         let whole = Unread::Bytes(count).whole();
         Presence::Unread(Some(Mark { client: id, bytes, whole, most }))
     }
 
-    /// The owner has heard the end of this task.
+    /// The client has heard the end of this task.
     pub fn heard_end(&mut self, task: TaskId) {
         self.told.remove(&task);
     }
 
     /// A task that was set up or named on it stands.
-    pub fn prove(&mut self, id: OwnerId) {
-        if let Some(owner) = self.all.get_mut(&id) {
-            owner.proven = true;
+    pub fn prove(&mut self, id: ClientId) {
+        if let Some(client) = self.all.get_mut(&id) {
+            client.proven = true;
         }
     }
 
     /// A set-up on it waits for its answer.
-    pub fn waits(&mut self, id: OwnerId, ticket: Ticket) {
-        if let Some(owner) = self.all.get_mut(&id) {
-            owner.open.insert(ticket);
+    pub fn waits(&mut self, id: ClientId, ticket: Ticket) {
+        if let Some(client) = self.all.get_mut(&id) {
+            client.open.insert(ticket);
         }
     }
 
     /// A set-up on it no longer waits.
-    pub fn settled(&mut self, id: OwnerId, ticket: Ticket) {
-        if let Some(owner) = self.all.get_mut(&id) {
-            owner.open.remove(&ticket);
+    pub fn settled(&mut self, id: ClientId, ticket: Ticket) {
+        if let Some(client) = self.all.get_mut(&id) {
+            client.open.remove(&ticket);
         }
     }
 
     /// Writes to one connection, if it is still there.
-    pub fn send(&self, now: Micros, id: OwnerId, bytes: &[u8]) {
-        if let Some(owner) = self.all.get(&id) {
-            owner.conn.send(now, bytes);
+    pub fn send(&self, now: Micros, id: ClientId, bytes: &[u8]) {
+        if let Some(client) = self.all.get(&id) {
+            client.conn.send(now, bytes);
         }
     }
 
     /// Ends one connection.
-    pub fn stop(&self, id: OwnerId, end: End) {
-        if let Some(owner) = self.all.get(&id) {
-            owner.conn.stop(end);
+    pub fn stop(&self, id: ClientId, end: End) {
+        if let Some(client) = self.all.get(&id) {
+            client.conn.stop(end);
         }
     }
 
     /// Writes what concerns a task whose answer went out on this connection just now. Guards against a word on
-    /// another connection that its owner reads before the answer: it would be taken for the answer, and the
+    /// another connection that its client reads before the answer: it would be taken for the answer, and the
     /// answer for a second one. Where the connection has ended the answer is on its way or lost already.
-    pub fn send_after(&mut self, now: Micros, id: OwnerId, task: TaskId, bytes: Vec<u8>) {
-        let live = self.all.get(&id).filter(|owner| !owner.conn.stopping());
-        if live.is_some_and(|owner| owner.conn.send(now, &bytes)) {
-            self.told.insert(task, Told { owner: id, bytes, since: now });
+    pub fn send_after(&mut self, now: Micros, id: ClientId, task: TaskId, bytes: Vec<u8>) {
+        let live = self.all.get(&id).filter(|client| !client.conn.stopping());
+        if live.is_some_and(|client| client.conn.send(now, &bytes)) {
+            self.told.insert(task, Told { client: id, bytes, since: now });
         } else {
             self.send_any(now, task, bytes);
         }
     }
 
     /// Writes what concerns a task that stood. It belongs to no connection: of those that have had tasks
-    /// placed, the one heard last is the least likely to be closing under our hands, or to be no owner at
+    /// placed, the one heard last is the least likely to be closing under our hands, or to be no client at
     /// all. With none open the next that asks is told.
     pub fn send_any(&mut self, now: Micros, task: TaskId, bytes: Vec<u8>) {
         loop {
             let live = self.all.iter().filter(|(_, o)| !o.conn.stopping() && o.asks);
             match live.max_by_key(|(_, o)| (o.proven, !o.open.is_empty(), o.heard)) {
                 None => return self.unsent.push((task, bytes)),
-                Some((id, owner)) if owner.conn.send(now, &bytes) => {
-                    self.told.insert(task, Told { owner: *id, bytes, since: now });
+                Some((id, client)) if client.conn.send(now, &bytes) => {
+                    self.told.insert(task, Told { client: *id, bytes, since: now });
                     return;
                 }
                 // It has ended under the write, and no byte has left.
@@ -371,13 +372,13 @@
 
     /// Closes what is stuck, long idle, or owed a word because it never says a whole message.
     pub fn sweep(&mut self, now: Micros) {
-        for owner in self.all.values() {
-            owner.conn.end_if_stuck(now, STUCK);
-            if owner.open.is_empty() && now - owner.heard > IDLE {
-                owner.conn.stop(End::Idle);
+        for client in self.all.values() {
+            client.conn.end_if_stuck(now, STUCK);
+            if client.open.is_empty() && now - client.heard > IDLE {
+                client.conn.stop(End::Idle);
             }
-            if owner.open.is_empty() && owner.half_since.is_some_and(|since| now - since > UNSPOKEN) {
-                owner.conn.stop(End::Unspoken);
+            if client.open.is_empty() && client.half_since.is_some_and(|since| now - since > UNSPOKEN) {
+                client.conn.stop(End::Unspoken);
             }
         }
         self.close_spare(now);
@@ -388,10 +389,10 @@
     /// none with an open set-up does, nor one on which something waits to be read. How many there were to close.
     pub fn shed(&self, now: Micros, most: usize) -> usize {
         let idle = self.all.values().filter(|o| o.open.is_empty() && !o.conn.stopping());
-        let mut idle: Vec<&Owner> = idle.filter(|o| o.spoken || now - o.heard >= YOUNG).collect();
+        let mut idle: Vec<&Client> = idle.filter(|o| o.spoken || now - o.heard >= YOUNG).collect();
         idle.sort_by_key(|o| (o.spoken, o.proven, o.heard));
         let closed = idle.into_iter().filter(|o| o.conn.quiet()).take(most);
-        closed.map(|owner| owner.conn.stop(End::Crowded)).count()
+        closed.map(|client| client.conn.stop(End::Shed)).count()
     }
 
     /// How the descriptors are shared out with so many hosts listed.
@@ -401,7 +402,7 @@
 
     /// How many connections there may be then.
     pub fn budget(&self, hosts: usize) -> usize {
-        self.shares(hosts).owners
+        self.shares(hosts).clients
     }
 
     /// How many there are.
@@ -430,7 +431,7 @@
     }
 }
 
-/// Listens for owners.
+/// Listens for clients.
 pub fn listen(address: SocketAddr) -> io::Result<Async<TcpListener>> {
     let listener = Async::<TcpListener>::bind(address)?;
     rustix::net::listen(&listener, BACKLOG)?;
@@ -453,7 +454,7 @@
                 return;
             }
             // Room is made for one that is there, not for one that may come.
-            if turn > 0 && shared.borrow().owner_crowds() {
+            if turn > 0 && shared.borrow().client_crowds() {
                 break;
             }
             make_room(&shared).await;
@@ -474,7 +475,7 @@
 fn take(listener: &Async<TcpListener>, shared: &Shared) -> io::Result<()> {
     let (stream, _) = listener.get_ref().accept()?;
     let conn = Rc::new(Conn::new(Async::new(stream)?));
-    let id = shared.borrow_mut().owner_opened(conn.clone());
+    let id = shared.borrow_mut().client_opened(conn.clone());
     shared.borrow().tasks.spawn(serve(id, conn, shared.clone()));
     Ok(())
 }
@@ -486,19 +487,19 @@
         return false;
     }
     let accepts = shared.borrow().accepts();
-    (accepts && take(listener, shared).is_ok()) || !shared.borrow().owners.quiet()
+    (accepts && take(listener, shared).is_ok()) || !shared.borrow().clients.quiet()
 }
 
 /// At the end of the process: all sides are closed for writing, and what peers still send is read off.
 /// Guards against the reset that ending with unread input sends: it can take an answer along that was
 /// written, and not read yet.
-pub async fn farewell(shared: &Shared) {
-    shared.borrow().owners.finish();
-    for _ in 0..FAREWELLS {
-        if shared.borrow().owners.all.is_empty() {
+pub async fn linger(shared: &Shared) {
+    shared.borrow().clients.finish();
+    for _ in 0..LINGERS {
+        if shared.borrow().clients.all.is_empty() {
             return;
         }
-        Timer::after(FAREWELL).await;
+        Timer::after(LINGER).await;
     }
 }
 
@@ -506,9 +507,9 @@
 async fn make_room(shared: &Shared) {
     let mut waits = false;
     loop {
-        let crowds = shared.borrow().owner_crowds();
+        let crowds = shared.borrow().client_crowds();
         let now = shared.borrow().clock.now();
-        if !crowds || shared.borrow().owners.shed(now, 1) > 0 {
+        if !crowds || shared.borrow().clients.shed(now, 1) > 0 {
             shared.borrow_mut().watch(now, Event::Connection { turned_away: waits });
             if crowds {
                 // The one that was told to end gives its descriptor back first.
@@ -517,7 +518,7 @@
             return;
         }
         if !std::mem::replace(&mut waits, true) {
-            info!(peer = "owner", reason = %End::Crowded, "connection waits");
+            info!(peer = "client", reason = %End::Shed, "connection waits");
         }
         Timer::after(ACCEPT_PAUSE).await;
     }
@@ -531,13 +532,13 @@
     pub async fn pause(shared: &Shared, e: &std::io::Error) {
         let now = shared.borrow().clock.now();
         warn!(reason = %e.kind(), "accept failed");
-        if shared.borrow().owners.shed(now, 1) == 0 {
+        if shared.borrow().clients.shed(now, 1) == 0 {
             Timer::after(ACCEPT_PAUSE).await;
         }
     }
 }
 
-async fn serve(id: OwnerId, conn: Rc<Conn>, shared: Shared) {
+async fn serve(id: ClientId, conn: Rc<Conn>, shared: Shared) {
     let mut rest = 0;
     let end = conn
         .run(|inbox| {
@@ -547,7 +548,7 @@
                 binary::read(inbox.get(taken..).unwrap_or_default()).map_err(End::Malformed)?
             {
                 taken += length;
-                shared.borrow_mut().owner_word(id, task, word);
+                shared.borrow_mut().client_word(id, task, word);
                 // Nothing more is taken from one that is to end. From one that has failed all is: what it said
                 // of tasks that stand holds.
                 if conn.dismissed() {
@@ -556,17 +557,17 @@
             }
             inbox.drain(..taken.min(inbox.len()));
             rest = inbox.len();
-            shared.borrow_mut().owner_heard(id, came, taken > 0, !inbox.is_empty());
+            shared.borrow_mut().client_heard(id, came, taken > 0, !inbox.is_empty());
             Ok(())
         })
         .await;
     // No word is to be queued on it from here on.
     conn.stop(end);
-    shared.borrow_mut().owner_ended(id, end);
+    shared.borrow_mut().client_ended(id, end);
     if matches!(end, End::Malformed(_) | End::IdInUse) {
-        shared.borrow_mut().owners.lingering += 1;
+        shared.borrow_mut().clients.lingering += 1;
         conn.linger().await;
-        shared.borrow_mut().owners.lingering -= 1;
+        shared.borrow_mut().clients.lingering -= 1;
     }
 }
 
--- a/src/net/clients/tests.rs
+++ b/src/net/clients/tests.rs
@@ -8,48 +8,50 @@
 const CHUNK: usize = 16 * 1024;
 
 /// A client, and its end of the connection.
-fn client() -> (Owners, OwnerId, TcpStream) {
+fn client() -> (Clients, ClientId, TcpStream) {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
     let peer = TcpStream::connect(listener.local_addr().expect("an address")).expect("a connection");
     let (stream, _) = listener.accept().expect("a connection");
-    let mut owners = Owners::new(256, 0);
-    let id = owners.opened(0, Rc::new(Conn::new(Async::new(stream).expect("a socket"))));
-    (owners, id, peer)
+    let mut clients = Clients::new(256, 0);
+    let id = clients.opened(0, Rc::new(Conn::new(Async::new(stream).expect("a socket"))));
+    (clients, id, peer)
 }
 
 #[test]
 fn a_client_that_always_has_more_to_say_is_waited_for_no_further_than_a_bound() {
-    let (mut owners, id, mut peer) = client();
+    let (mut clients, id, mut peer) = client();
     let host = HostId(Arc::from("h0"));
     peer.write_all(&[0; 8 * CHUNK]).expect("it has room");
     let (mut mark, mut reads) = (None, 0);
     // As much as before waits each time that some was read.
-    while let Presence::Unread(next) = owners.presence(id, mark, &host) {
+    while let Presence::Unread(next) = clients.presence(id, mark, &host) {
         mark = next;
-        assert_eq!(owners.read(id, CHUNK).len(), 1, "the host where it waits");
+        assert_eq!(clients.read(id, CHUNK).len(), 1, "the host where it waits");
         reads += 1;
         assert!(reads <= MOST_AHEAD as usize / CHUNK, "{reads} reads");
     }
-    assert_eq!(owners.presence(id, mark, &host), Presence::Here);
+    assert_eq!(clients.presence(id, mark, &host), Presence::Here);
     assert_eq!(reads, MOST_AHEAD as usize / CHUNK);
 }
 
 #[test]
 fn what_came_after_the_first_look_is_not_waited_for_and_a_mark_is_one_clients_own() {
-    let (mut owners, id, mut peer) = client();
+    let (mut clients, id, mut peer) = client();
     let host = HostId(Arc::from("h0"));
     peer.write_all(&[0; 10]).expect("it has room");
-    let Presence::Unread(mark @ Some(_)) = owners.presence(id, None, &host) else { panic!("ten bytes wait") };
-    assert_eq!(owners.presence(id, mark, &host), Presence::Unread(mark), "nothing was read");
-    owners.read(id, 10);
-    assert_eq!(owners.presence(id, mark, &host), Presence::Here);
-    let other = mark.map(|mark| Mark { client: OwnerId(7), ..mark });
-    assert!(matches!(owners.presence(id, other, &host), Presence::Unread(Some(_))));
+    let Presence::Unread(mark @ Some(_)) = clients.presence(id, None, &host) else {
+        panic!("ten bytes wait")
+    };
+    assert_eq!(clients.presence(id, mark, &host), Presence::Unread(mark), "nothing was read");
+    clients.read(id, 10);
+    assert_eq!(clients.presence(id, mark, &host), Presence::Here);
+    let other = mark.map(|mark| Mark { client: ClientId(7), ..mark });
+    assert!(matches!(clients.presence(id, other, &host), Presence::Unread(Some(_))));
     drop(peer);
-    owners.reads(id);
+    clients.reads(id);
     assert!(
-        matches!(owners.presence(id, mark, &host), Presence::Unread(_)),
+        matches!(clients.presence(id, mark, &host), Presence::Unread(_)),
         "its words are being gone through"
     );
-    assert_eq!(owners.presence(OwnerId(9), None, &host), Presence::Left);
+    assert_eq!(clients.presence(ClientId(9), None, &host), Presence::Left);
 }
--- /dev/null
+++ b/src/net/codec/binary/tests.rs
@@ -0,0 +1,102 @@
+//! Tests of `binary.rs`.
+
+use super::*;
+
+fn set_up_bytes(parameters: &[(u8, &[u8])]) -> Vec<u8> {
+    message(kind::SET_UP, TaskId(0x9b1f), parameters)
+}
+
+const GOOD: [(u8, &[u8]); 7] = [
+    (code::CLASS, b"batch"),
+    (code::WAIT, b"1500"),
+    (code::TENANT, b"acme"),
+    (code::RETRY, b"1"),
+    (code::KEY, b"7f3a9c21e0b4d655"),
+    (code::FIGURES, b"cores:1.5;memory:2;service:00000000b4d65521;at:s-1"),
+    (code::DESCRIPTION, b"c=IN IP4\r\n"),
+];
+
+#[test]
+fn a_set_up_is_read_whole() {
+    let Ok(Some((task, ClientWord::SetUp(set_up), length))) = read(&set_up_bytes(&GOOD)) else {
+        panic!("not read")
+    };
+    assert_eq!((task, length), (TaskId(0x9b1f), set_up_bytes(&GOOD).len()));
+    let ask = Ask {
+        class: "batch".into(),
+        tenant: Some("acme".into()),
+        service: 0xb4d6_5521,
+        key: 0x7f3a_9c21_e0b4_d655,
+        cores: 1.5,
+        memory: 2.0,
+        budget: 1_500_000,
+        resent: true,
+    };
+    assert_eq!(set_up.ask, ask);
+    assert_eq!(set_up.at, Some(HostId(Arc::from("s-1"))));
+    assert_eq!((set_up.key.as_str(), set_up.description.as_str()), ("7f3a9c21e0b4d655", "c=IN IP4\r\n"));
+}
+
+#[test]
+fn what_is_cut_short_waits_for_more() {
+    let whole = set_up_bytes(&GOOD);
+    for end in 0..whole.len() {
+        assert_eq!(read(&whole[..end]), Ok(None), "{end} bytes");
+    }
+    let two = [whole.clone(), heard(TaskId(7))].concat();
+    assert!(matches!(read(&two), Ok(Some((TaskId(0x9b1f), _, n))) if n == whole.len()));
+    assert_eq!(read(&two[whole.len()..]), Ok(Some((TaskId(7), ClientWord::Heard, 11))));
+}
+
+#[test]
+fn bad_set_ups_are_told_from_bad_messages() {
+    let cases: [(usize, Option<&[u8]>, &str); 9] = [
+        (0, None, "class"),
+        (0, Some(b"\xff"), "class"),
+        (1, Some(b"soon"), "wait"),
+        (4, Some(b"no hex"), "key"),
+        (5, Some(b"cores:1;memory:2"), "service"),
+        (5, Some(b"cores:-1;memory:2;service:1"), "cores"),
+        (5, Some(b"cores:1;memory:inf;service:1"), "memory"),
+        (5, Some(b""), "service"),
+        (6, Some(b"\xc3("), "description"),
+    ];
+    for (place, value, field) in cases {
+        let mut parameters = GOOD.to_vec();
+        match value {
+            Some(value) => parameters[place].1 = value,
+            None => drop(parameters.remove(place)),
+        }
+        let read = read(&set_up_bytes(&parameters)).expect("a message").expect("a whole one");
+        assert_eq!(read.1, ClientWord::BadSetUp(Malformed::Field(field)), "{value:?}");
+    }
+    let long = set_up_bytes(&[(code::DESCRIPTION, &[b'x'; MOST_BYTES])]);
+    let broken: [(&[u8], Malformed); 6] = [
+        (&long, Malformed::TooLong),
+        (&[0xff, 0xff], Malformed::TooLong),
+        (&[0, 8, 1, 0, 0, 0, 0, 0, 0, 0], Malformed::Length),
+        (&[0, 10, 12, 0, 0, 0, 0, 0, 0, 0, 0, 171], Malformed::Length),
+        (&[0, 12, 12, 0, 0, 0, 0, 0, 0, 0, 0, 171, 0, 9], Malformed::Length),
+        (&[0, 9, 12, 0, 0, 0, 0, 0, 0, 0, 0], Malformed::Field("cause")),
+    ];
+    for (bytes, why) in broken {
+        assert_eq!(read(bytes), Err(why), "{:?}", &bytes[..bytes.len().min(16)]);
+    }
+}
+
+#[test]
+fn what_is_written_has_the_form_of_the_protocol() {
+    let id = TaskId(0x0102_0304_0506_0708);
+    let cases: [(Vec<u8>, u8, &[u8]); 6] = [
+        (answer(id, "d"), 9, &[174, 0, 1, b'd']),
+        (release(id, 41, None), 12, &[171, 0, 1, 41]),
+        (release(id, 42, Some(250)), 12, &[171, 0, 1, 42, 147, 0, 3, b'2', b'5', b'0']),
+        (heard(id), 16, &[]),
+        (moved(id), 51, &[]),
+        (tested(id, true), 53, &[171, 0, 1, 1]),
+    ];
+    for (bytes, kind, parameters) in cases {
+        let head = [0, 9 + parameters.len() as u8, kind, 1, 2, 3, 4, 5, 6, 7, 8];
+        assert_eq!(bytes, [&head[..], parameters].concat());
+    }
+}
--- /dev/null
+++ b/src/net/codec/feed/tests.rs
@@ -0,0 +1,65 @@
+//! Tests of `feed.rs`.
+
+use super::*;
+
+fn names() -> Names {
+    Names { zones: vec!["west".into(), "east".into()], kinds: vec!["std".into()], ..Names::default() }
+}
+
+#[test]
+fn events_are_read_and_bad_ones_are_typed_errors() {
+    let host = r#"{"host":"s-1","dial":"127.0.0.1:5060","site":"east","class":"std","block":2,"health":"up","share":4,"born_ms":1500,"unasked":[3.5,-1]}"#;
+    let event = |host: &str| format!(r#"{{"n":41,"members":{{"seq":7,"whole":false,"hosts":[{host}]}}}}"#);
+    let read_text = |text: &str| read(&mut text.as_bytes().to_vec(), &names());
+    let line = read_text(&event(host)).expect("good");
+    let (whole, hosts) = line.members.expect("hosts");
+    assert_eq!((line.number, whole, hosts.len()), (41, false, 1));
+    let Listed { entry, dial } = &hosts[0];
+    assert_eq!(
+        (&*entry.host.0, entry.zone, entry.kind, entry.cell),
+        ("s-1", ZoneId(1), KindId(0), CellId(2))
+    );
+    assert_eq!((entry.state, entry.ready_at), (HostState::Up, 1_500_000));
+    assert_eq!((entry.free_cores, entry.free_memory, dial.map(|d| d.port())), (3.5, -1.0, Some(5060)));
+    assert!(read_text(r#"{"n":41}"#).is_ok_and(|line| line.members.is_none()));
+    assert!(read_text(&event(r#"{"host":"s-1","health":"removed"}"#)).is_ok(), "its name is enough");
+    let cases = [
+        ("{\"n\":".to_string(), Malformed::Json),
+        ("{}".to_string(), Malformed::Field("n")),
+        (r#"{"n":1,"members":{}}"#.to_string(), Malformed::Field("whole")),
+    ];
+    for (text, why) in cases {
+        assert_eq!(read_text(&text).map(|_| ()), Err(why), "{text}");
+    }
+}
+
+// An entry that can't be right was an event that can't be read, and a configuration that names one was
+// refused: the placer did not start.
+#[test]
+fn an_entry_that_cannot_be_right_is_set_aside_and_the_others_are_taken() {
+    let good = r#"{"host":"s-1","dial":"127.0.0.1:5060","site":"east","class":"std","health":"up"}"#;
+    for (bad, why) in [
+        (good.replace("\"up\"", "\"odd\""), "health"),
+        (good.replace("\"std\"", "\"odd\""), "class"),
+        (good.replace("127.0.0.1:5060", "here"), "dial"),
+        (good.replace("\"host\"", "\"hots\""), "host"),
+        ("7".to_string(), "host"),
+    ] {
+        let text = format!(r#"{{"n":4,"members":{{"whole":true,"hosts":[{bad},{good}]}}}}"#);
+        let line = read(&mut text.into_bytes(), &names()).expect("an event");
+        assert_eq!(line.members.map(|(_, hosts)| hosts.len()), Some(1), "{bad}");
+        assert_eq!(line.aside.iter().map(|(_, why)| *why).collect::<Vec<_>>(), [Malformed::Field(why)]);
+    }
+}
+
+// Deployments may have zones that the settings do not state, or none.
+#[test]
+fn a_zone_without_a_name_in_the_settings_is_a_zone_of_its_own() {
+    let stated = names().zones;
+    let zones = ["west", "east", "north", "south", ""].map(|name| zone(Some(name), &stated));
+    assert_eq!((zones[0], zones[1]), (ZoneId(0), ZoneId(1)));
+    for (i, one) in zones.iter().enumerate() {
+        assert!(zones.iter().skip(i + 1).all(|other| other != one), "{zones:?}");
+    }
+    assert_eq!((zone(Some("north"), &stated), zone(None, &[])), (zones[2], zones[4]));
+}
--- a/src/net/codec/mod.rs
+++ b/src/net/codec/mod.rs
@@ -8,7 +8,7 @@
 use anisehead::{HostId, Micros};
 use std::fmt;
 
-/// No message of owners or hosts holds more.
+/// No message of clients or hosts holds more.
 pub const MOST_BYTES: usize = 16 * 1024;
 
 /// A task's id on the wire: 16 hex digits.
@@ -25,7 +25,7 @@
 pub mod cause {
     /// Given up, or the task's regular end.
     pub const NORMAL: u8 = 16;
-    /// Moved, or ended by its owner.
+    /// Moved, or ended by its client.
     pub const CANCELLED: u8 = 31;
     /// A full host.
     pub const FULL: u8 = 34;
@@ -39,12 +39,12 @@
     pub const MOOT: u8 = 102;
 }
 
-/// An owner's set-up.
+/// A client's set-up.
 #[derive(Debug, Clone, PartialEq)]
 pub struct SetUp {
     /// What the module decides by.
     pub ask: Ask,
-    /// How long the owner waits for the answer, from when it sent the set-up.
+    /// How long the client waits for the answer, from when it sent the set-up.
     pub wait: Micros,
     /// The host that holds the task already.
     pub at: Option<HostId>,
@@ -92,17 +92,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn lines_are_cut_at_line_feeds_and_bounded() {
-        let mut inbox = b"one\n\ntwo".to_vec();
-        assert_eq!(next_line(&mut inbox, 8), Ok(Some(b"one".to_vec())));
-        assert_eq!(next_line(&mut inbox, 8), Ok(Some(Vec::new())));
-        assert_eq!(next_line(&mut inbox, 8), Ok(None));
-        assert_eq!(inbox, b"two");
-        assert_eq!(next_line(&mut vec![b'x'; 8], 8), Err(Malformed::TooLong));
-        assert_eq!(next_line(&mut b"12345678\n".to_vec(), 8), Err(Malformed::TooLong));
-    }
-}
+mod tests;
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -15,7 +15,7 @@
 pub struct Config {
     /// Its name, for the log.
     pub name: String,
-    /// Where owners connect.
+    /// Where clients connect.
     pub listen: SocketAddr,
     /// Where operators call, if anywhere.
     pub admin: Option<SocketAddr>,
@@ -111,7 +111,7 @@
         config.admin = Some(parsed);
     }
     if config.admin == Some(config.listen) {
-        return Err(error("admin", format_args!("{} is where owners connect (listen)", config.listen)));
+        return Err(error("admin", format_args!("{} is where clients connect (listen)", config.listen)));
     }
     Ok(config)
 }
--- a/src/net/conn.rs
+++ b/src/net/conn.rs
@@ -66,7 +66,7 @@
     /// The peer never said a whole message, or left one unfinished.
     Unspoken,
     /// Its descriptor is needed for another.
-    Crowded,
+    Shed,
     /// It carries no task, and the process is taken out of service.
     Draining,
     /// A set-up under the id of another that is open.
@@ -88,7 +88,7 @@
             End::Silent => write!(f, "silent"),
             End::Gap => write!(f, "gap"),
             End::Unspoken => write!(f, "unspoken"),
-            End::Crowded => write!(f, "crowded"),
+            End::Shed => write!(f, "shed"),
             End::Draining => write!(f, "draining"),
             End::IdInUse => write!(f, "id-in-use"),
         }
--- a/src/net/ctl.rs
+++ b/src/net/ctl.rs
@@ -1,8 +1,8 @@
-//! The socket for orders: a Unix socket that only its owner may use.
+//! The socket for orders: a Unix socket that only its client may use.
 
+use super::clients::AcceptFailed;
 use super::dispatch::Shared;
 use super::health::gate::{Gate, Place};
-use super::owners::AcceptFailed;
 use crate::ctl;
 use anisehead::Micros;
 use async_executor::LocalExecutor;
--- a/src/net/dispatch.rs
+++ b/src/net/dispatch.rs
@@ -9,8 +9,9 @@
 mod operating;
 
 use super::admin;
+use super::clients::{ClientId, Clients, Presence, STUCK};
 use super::clock::Clock;
-use super::codec::binary::{self, OwnerWord};
+use super::codec::binary::{self, ClientWord};
 use super::codec::feed::FeedLine;
 use super::codec::lines::{self, HostWord};
 use super::codec::{Malformed, SetUp, TaskId, cause};
@@ -18,8 +19,7 @@
 use super::conn::{self, Conn, End, Unread};
 use super::health::gate::Gate;
 use super::health::watch::{Refused, Task, Watch};
-use super::hosts::{Link, Phase, Round, Unmade, Waiting};
-use super::owners::{OwnerId, Owners, Presence, STUCK};
+use super::hosts::{DialError, Link, Phase, Round, Waiting};
 use super::wheel::Wheel;
 use crate::ctl;
 use crate::operator::Operator;
@@ -41,11 +41,11 @@
 use tracing::{info, warn};
 
 const MILLI: Micros = 1_000;
-/// An owner's time runs from when it sent: what the way here, a tick and the way back may take.
-const OWNER_SLACK: Micros = 15 * MILLI;
+/// A client's time runs from when it sent: what the way here, a tick and the way back may take.
+const CLIENT_SLACK: Micros = 15 * MILLI;
 /// How often connections are looked through.
 const SWEEP: Micros = 250 * MILLI;
-/// After SIGTERM the platform ends the process no sooner than after the longest wait of an owner, counted as this
+/// After SIGTERM the platform ends the process no sooner than after the longest wait of a client, counted as this
 /// at the most, and 700 ms more (the protocol's figures). Of these, what is owed is answered so long after the
 /// wait, and the process ends at last so long after it.
 const CLOSE_WAIT: Micros = 3_000 * MILLI;
@@ -61,7 +61,7 @@
 const UNLISTED: Micros = 2_000 * MILLI;
 /// How long the end of a task is remembered.
 const ENDED: Micros = 10_000 * MILLI;
-/// An answer may be on its way to its owner for so long.
+/// An answer may be on its way to its client for so long.
 const ORDERED: Micros = 2_000 * MILLI;
 /// How long a host's word that it is full counts.
 const FULL: Micros = 15_000 * MILLI;
@@ -113,13 +113,13 @@
     Out { attempt: u32, host: HostId, since: Micros, until: Micros, round: Option<Round> },
     /// It stands.
     Standing { attempt: u32, host: HostId, since: Micros },
-    /// Ended from this side; the host's word on it is awaited, and its owner is owed nothing.
+    /// Ended from this side; the host's word on it is awaited, and its client is owed nothing.
     Leaving { attempt: u32, host: HostId, since: Micros },
 }
 
 struct Request {
     id: TaskId,
-    owner: Option<OwnerId>,
+    client: Option<ClientId>,
     /// Dropped once the task stands.
     set_up: Option<Box<SetUp>>,
     attempts: u32,
@@ -130,7 +130,7 @@
     since: Micros,
     aim: Micros,
     /// Where it was set up or named, once it stands.
-    home: Option<OwnerId>,
+    home: Option<ClientId>,
 }
 
 /// A task that is over: its host has released it, or it was answered. Kept for a set-up with `at` that
@@ -145,7 +145,7 @@
 pub struct Dispatch {
     pub(super) clock: Clock,
     pub(super) tasks: Tasks,
-    pub(super) owners: Owners,
+    pub(super) clients: Clients,
     name: String,
     facade: Facade,
     wheel: Wheel<Due>,
@@ -187,7 +187,7 @@
     pub(super) inherits: bool,
     /// Balancers' drain, or maintenance, wants connections closed that carry no task.
     closes_idle: bool,
-    /// Owners can connect.
+    /// Clients can connect.
     pub(super) listens: bool,
     /// What of the engine of overloads was logged.
     logged: bounds::Logged,
@@ -213,7 +213,7 @@
         Dispatch {
             clock,
             tasks,
-            owners: Owners::new(config.limits.sockets, apart),
+            clients: Clients::new(config.limits.sockets, apart),
             name: config.name,
             facade: Facade::bounded(
                 config.settings,
@@ -278,7 +278,7 @@
     pub fn limit(&mut self, limits: Limits) {
         self.limits = limits;
         let processes = 1 + self.company.others() as usize;
-        self.owners.limit(limits.sockets / processes);
+        self.clients.limit(limits.sockets / processes);
         self.share_out();
         conn::bound_queues(limits.memory / QUEUES / processes);
     }
@@ -370,10 +370,10 @@
             let State::Out { attempt: n, round: round @ None, until, .. } = &mut request.state else {
                 continue;
             };
-            let (true, Some(set_up), Some(owner)) = (*n == attempt, &request.set_up, request.owner) else {
+            let (true, Some(set_up), Some(client)) = (*n == attempt, &request.set_up, request.client) else {
                 continue;
             };
-            let mark = match self.owners.presence(owner, mark, host) {
+            let mark = match self.clients.presence(client, mark, host) {
                 Presence::Left => {
                     left.push(ticket);
                     continue;
@@ -411,7 +411,7 @@
         self.enter(ticket, State::Held);
         self.settle(now, &host, false);
         let stretch = elapsed as f64 / aim as f64;
-        // What its owner gave up tells nothing of the host.
+        // What its client gave up tells nothing of the host.
         if outcome != Outcome::Cancelled {
             self.watch(now, Event::Offer { outcome, detail, stretch });
         }
@@ -440,11 +440,11 @@
         if self.requests.get(&ticket).is_some_and(|r| r.state == State::Held) {
             self.watch(now, Event::Answered { in_aim: false });
             let request = self.remove(ticket)?;
-            if let Some(owner) = request.owner {
+            if let Some(client) = request.client {
                 let how = if cause == cause::REFUSED { Told::Refused } else { Told::Failed };
                 self.tally.ended(request.class, how);
-                self.owners.send(now, owner, &binary::release(request.id, cause, away));
-                self.owners.settled(owner, ticket);
+                self.clients.send(now, client, &binary::release(request.id, cause, away));
+                self.clients.settled(client, ticket);
             }
         }
         news
@@ -469,7 +469,7 @@
             self.settle(self.clock.now(), host, false);
         }
         if let Some(home) = request.home {
-            self.owners.count_standing(home, false);
+            self.clients.count_standing(home, false);
         }
         if self.by_id.get(&request.id) == Some(&ticket) {
             self.by_id.remove(&request.id);
@@ -479,7 +479,7 @@
         Some(request)
     }
 
-    /// MOVE: the task ends, also at its host, and its owner comes again.
+    /// MOVE: the task ends, also at its host, and its client comes again.
     fn move_away(&mut self, now: Micros, ticket: Ticket) {
         let Some(request) = self.requests.get(&ticket) else { return };
         if let State::Standing { since, .. } = request.state {
@@ -491,10 +491,10 @@
 
     /// Tells that a task which stood since then is over, or moves: in order with its answer, where that went
     /// out only just now.
-    fn tell_end(&mut self, now: Micros, id: TaskId, home: Option<OwnerId>, since: Micros, word: Vec<u8>) {
+    fn tell_end(&mut self, now: Micros, id: TaskId, home: Option<ClientId>, since: Micros, word: Vec<u8>) {
         match home {
-            Some(owner) if now - since < ORDERED => self.owners.send_after(now, owner, id, word),
-            _ => self.owners.send_any(now, id, word),
+            Some(client) if now - since < ORDERED => self.clients.send_after(now, client, id, word),
+            _ => self.clients.send_any(now, id, word),
         }
     }
 
@@ -528,14 +528,14 @@
         }
         let (attempt, host, elapsed, outcome) = (*attempt, host.clone(), now - since, Outcome::Reset);
         info!(task = %request.id, reason = "no-such-host", host = &*host.0, "does not stand");
-        if let Some(owner) = request.owner {
-            self.owners.send(now, owner, &binary::release(request.id, cause::RESET, None));
+        if let Some(client) = request.client {
+            self.clients.send(now, client, &binary::release(request.id, cause::RESET, None));
         }
         self.remove(ticket);
         self.tell(now, News::Ended { ticket, attempt, host, outcome, detail: Detail::None, elapsed });
     }
 
-    /// What stood is over: its owner is told, unless it ended the task itself.
+    /// What stood is over: its client is told, unless it ended the task itself.
     fn end_standing(&mut self, now: Micros, ticket: Ticket, cause: u8, detail: Detail) {
         let Some(request) = self.remove(ticket) else { return };
         let (attempt, host, since, outcome) = match request.state {
@@ -555,33 +555,33 @@
         self.tell(now, News::Ended { ticket, attempt, host, outcome, detail, elapsed: now - since });
     }
 
-    // ---- Owners ----
+    // ---- Clients ----
 
-    /// Whether another connection of an owner is beyond the budget.
-    pub fn owner_crowds(&self) -> bool {
-        self.owners.crowded(self.hosts_in_use())
+    /// Whether another connection of a client is beyond the budget.
+    pub fn client_crowds(&self) -> bool {
+        self.clients.crowded(self.hosts_in_use())
     }
 
-    /// A connection from an owner is there.
-    pub fn owner_opened(&mut self, conn: Rc<Conn>) -> OwnerId {
-        self.owners.opened(self.clock.now(), conn)
+    /// A connection from a client is there.
+    pub fn client_opened(&mut self, conn: Rc<Conn>) -> ClientId {
+        self.clients.opened(self.clock.now(), conn)
     }
 
     /// It has ended, and with it the set-ups that are open on it.
-    pub fn owner_ended(&mut self, owner: OwnerId, end: End) {
+    pub fn client_ended(&mut self, client: ClientId, end: End) {
         let now = self.clock.now();
-        let open = self.owners.ended(now, owner);
-        info!(peer = "owner", connection = %owner, reason = %end, open = open.len(), "connection ended");
+        let open = self.clients.ended(now, client);
+        info!(peer = "client", connection = %client, reason = %end, open = open.len(), "connection ended");
         for ticket in open {
             self.gone(now, ticket);
         }
     }
 
-    /// The owner wants no answer any more.
+    /// The client wants no answer any more.
     fn gone(&mut self, now: Micros, ticket: Ticket) {
         let news = self.give_up(now, ticket, None, Outcome::Cancelled);
-        if let Some(owner) = self.remove(ticket).and_then(|r| r.owner) {
-            self.owners.settled(owner, ticket);
+        if let Some(client) = self.remove(ticket).and_then(|r| r.client) {
+            self.clients.settled(client, ticket);
         }
         self.tell(now, News::GivenUp(ticket));
         if let Some(news) = news {
@@ -590,71 +590,71 @@
     }
 
     /// All that came with one read, so many bytes, was taken in: whether whole messages did, and half of another.
-    pub fn owner_heard(&mut self, owner: OwnerId, bytes: usize, whole: bool, half: bool) {
+    pub fn client_heard(&mut self, client: ClientId, bytes: usize, whole: bool, half: bool) {
         let now = self.clock.now();
-        self.owners.heard(now, owner, whole, half);
-        for host in self.owners.read(owner, bytes) {
+        self.clients.heard(now, client, whole, half);
+        for host in self.clients.read(client, bytes) {
             self.send_waiting(now, &host);
         }
     }
 
-    /// A message of an owner. Each is answered, or ends its connection, or asks for nothing: whoever
+    /// A message of a client. Each is answered, or ends its connection, or asks for nothing: whoever
     /// sends what is no use is not left waiting.
-    pub fn owner_word(&mut self, owner: OwnerId, id: TaskId, word: OwnerWord) {
+    pub fn client_word(&mut self, client: ClientId, id: TaskId, word: ClientWord) {
         let now = self.clock.now();
-        self.owners.heard(now, owner, true, false);
-        self.owners.reads(owner);
-        if !matches!(word, OwnerWord::Test) {
-            self.owners.asked(now, owner);
+        self.clients.heard(now, client, true, false);
+        self.clients.reads(client);
+        if !matches!(word, ClientWord::Test) {
+            self.clients.asked(now, client);
         }
         let held = self.by_id.get(&id).copied();
         match word {
-            OwnerWord::SetUp(set_up) => match (&set_up.at, held) {
-                (Some(host), None) => self.adopt(now, owner, id, &set_up, &host.clone()),
-                (None, None) => self.set_up(now, owner, id, set_up),
-                (_, Some(ticket)) => self.set_up_again(owner, ticket, &set_up),
+            ClientWord::SetUp(set_up) => match (&set_up.at, held) {
+                (Some(host), None) => self.adopt(now, client, id, &set_up, &host.clone()),
+                (None, None) => self.set_up(now, client, id, set_up),
+                (_, Some(ticket)) => self.set_up_again(client, ticket, &set_up),
             },
-            OwnerWord::BadSetUp(why) if held.is_none() => {
+            ClientWord::BadSetUp(why) if held.is_none() => {
                 info!(task = %id, reason = %why, "set-up not read");
-                self.owners.send(now, owner, &binary::release(id, cause::FAILED, None));
+                self.clients.send(now, client, &binary::release(id, cause::FAILED, None));
             }
             // A failure under this id could be taken for the answer to the one that is open.
-            OwnerWord::BadSetUp(_) => self.owners.stop(owner, End::IdInUse),
-            OwnerWord::Release(cause) => self.owner_release(now, owner, id, cause, held),
-            OwnerWord::Test => {
+            ClientWord::BadSetUp(_) => self.clients.stop(client, End::IdInUse),
+            ClientWord::Release(cause) => self.client_release(now, client, id, cause, held),
+            ClientWord::Test => {
                 let passes = self.placer_serves();
-                self.owners.send(now, owner, &binary::tested(id, passes));
+                self.clients.send(now, client, &binary::tested(id, passes));
                 self.on_duty(now, duty::Event::Asked);
             }
-            OwnerWord::Heard => self.owners.heard_end(id),
-            OwnerWord::Other => self.owners.stop(owner, End::Malformed(Malformed::Field("type"))),
+            ClientWord::Heard => self.clients.heard_end(id),
+            ClientWord::Other => self.clients.stop(client, End::Malformed(Malformed::Field("type"))),
         }
     }
 
-    /// An owner gives a set-up up, on its connection, or ends a task that stands, on any.
-    fn owner_release(&mut self, now: Micros, owner: OwnerId, id: TaskId, cause: u8, held: Option<Ticket>) {
+    /// A client gives a set-up up, on its connection, or ends a task that stands, on any.
+    fn client_release(&mut self, now: Micros, client: ClientId, id: TaskId, cause: u8, held: Option<Ticket>) {
         let open = held.and_then(|ticket| self.requests.get(&ticket)).filter(|r| r.owes());
-        match (held, open.map(|r| r.owner == Some(owner))) {
+        match (held, open.map(|r| r.client == Some(client))) {
             (Some(ticket), Some(true)) => return self.gone(now, ticket),
             (Some(ticket), None) => self.leave(now, ticket, cause),
             // Of no task here, or of another's set-up: it changes nothing.
             _ => {}
         }
-        self.owners.send(now, owner, &binary::heard(id));
+        self.clients.send(now, client, &binary::heard(id));
     }
 
-    fn take(&mut self, now: Micros, id: TaskId, owner: OwnerId, class: &str, state: State) -> Ticket {
+    fn take(&mut self, now: Micros, id: TaskId, client: ClientId, class: &str, state: State) -> Ticket {
         let ticket = Ticket(self.next);
         self.next += 1;
         self.by_id.insert(id, ticket);
         let aim = self.facade.aim(class).unwrap_or(MILLI).max(MILLI);
-        let owner = Some(owner);
+        let client = Some(client);
         if let Some(host) = state.at() {
             self.at_hosts.came(ticket, host, state.stands());
         }
         let class = self.facade.class(class);
         let (set_up, home) = (None, None);
-        let request = Request { id, owner, set_up, attempts: 0, state, class, since: now, aim, home };
+        let request = Request { id, client, set_up, attempts: 0, state, class, since: now, aim, home };
         self.requests.insert(ticket, request);
         ticket
     }
@@ -662,9 +662,9 @@
     /// Guards the module and the hosts against asks that can't be right, which are answered at once:
     /// without an id, or with that of a task that is over, a host takes its connection for broken, and
     /// answers an error that makes it look so; every ask counts as load.
-    fn set_up(&mut self, now: Micros, owner: OwnerId, id: TaskId, set_up: Box<SetUp>) {
+    fn set_up(&mut self, now: Micros, client: ClientId, id: TaskId, set_up: Box<SetUp>) {
         let mut ask = set_up.ask.clone();
-        ask.budget = (set_up.wait - OWNER_SLACK).max(0);
+        ask.budget = (set_up.wait - CLIENT_SLACK).max(0);
         let unfit = match self.facade.check(&ask, false) {
             Err(Unfit(why)) => Some(why),
             Ok(()) if id == TaskId(0) => Some("no id"),
@@ -675,10 +675,10 @@
         if let Some(why) = unfit {
             info!(task = %id, reason = why, "not placed");
             self.tally.ended(self.facade.class(&ask.class), Told::Failed);
-            return self.owners.send(now, owner, &binary::release(id, cause::FAILED, None));
+            return self.clients.send(now, client, &binary::release(id, cause::FAILED, None));
         }
-        let ticket = self.take(now, id, owner, &ask.class, State::Held);
-        self.owners.waits(owner, ticket);
+        let ticket = self.take(now, id, client, &ask.class, State::Held);
+        self.clients.waits(client, ticket);
         if let Some(request) = self.requests.get_mut(&ticket) {
             request.set_up = Some(set_up);
         }
@@ -686,28 +686,28 @@
         self.carry_out(now, verdicts);
     }
 
-    /// A set-up under an id that is in hand. Guards against an owner that sends again because its first
+    /// A set-up under an id that is in hand. Guards against a client that sends again because its first
     /// connection broke, before the break is seen here: a second answer would break a rule, so the one
     /// that is owed goes to the connection heard last. Guards also against whoever sends another set-up
     /// under an id that is open, or the same twice on one connection: its connection ends, and an answer
     /// that another is owed does not go there.
-    fn set_up_again(&mut self, owner: OwnerId, ticket: Ticket, set_up: &SetUp) {
+    fn set_up_again(&mut self, client: ClientId, ticket: Ticket, set_up: &SetUp) {
         let Some(request) = self.requests.get_mut(&ticket) else { return };
         let known = matches!((&request.state, &set_up.at),
             (State::Standing { host, .. } | State::Leaving { host, .. }, Some(at)) if host == at);
         if known {
             return;
         }
-        let same = request.set_up.as_deref() == Some(set_up) && request.owner != Some(owner);
+        let same = request.set_up.as_deref() == Some(set_up) && request.client != Some(client);
         if !same {
-            return self.owners.stop(owner, End::IdInUse);
+            return self.clients.stop(client, End::IdInUse);
         }
-        if let Some(before) = request.owner.replace(owner) {
-            self.owners.settled(before, ticket);
+        if let Some(before) = request.client.replace(client) {
+            self.clients.settled(before, ticket);
         }
-        self.owners.waits(owner, ticket);
+        self.clients.waits(client, ticket);
         if let (true, Some(host)) = (request.state.unsent(), request.state.at()) {
-            self.owners.waits_behind(owner, host);
+            self.clients.waits_behind(client, host);
         }
         let id = request.id;
         info!(task = %id, "set up twice");
@@ -715,13 +715,13 @@
 
     /// A task that a host holds already. Its release may have come first. The list may be late to name
     /// its host: it gets a while for that.
-    fn adopt(&mut self, now: Micros, owner: OwnerId, id: TaskId, set_up: &SetUp, host: &HostId) {
+    fn adopt(&mut self, now: Micros, client: ClientId, id: TaskId, set_up: &SetUp, host: &HostId) {
         let unfit = match self.facade.check(&set_up.ask, true) {
             Err(Unfit(why)) => Some(why),
             Ok(()) if id == TaskId(0) => Some("no id"),
             Ok(()) => None,
         };
-        // Guards against a release that came on our new connection before the owner told of the task.
+        // Guards against a release that came on our new connection before the client told of the task.
         let over = match self.ended.get(&id) {
             Some(Ended { by: Some((by, cause, _)), .. }) if by == host => Some(*cause),
             _ if self.hosts.get(host).is_some_and(|l| l.state == HostState::Gone) => Some(cause::RESET),
@@ -729,13 +729,13 @@
         };
         if let Some(cause) = over.or(unfit.map(|_| cause::RESET)) {
             info!(task = %id, reason = unfit.unwrap_or("released"), host = &*host.0, "does not stand");
-            return self.owners.send(now, owner, &binary::release(id, cause, None));
+            return self.clients.send(now, client, &binary::release(id, cause, None));
         }
         let state = State::Standing { attempt: 0, host: host.clone(), since: now };
-        let ticket = self.take(now, id, owner, &set_up.ask.class, state);
-        self.stands_for(ticket, owner);
+        let ticket = self.take(now, id, client, &set_up.ask.class, state);
+        self.stands_for(ticket, client);
         if self.hosts.contains_key(host) {
-            self.owners.prove(owner);
+            self.clients.prove(client);
             self.settle(now, host, false);
             self.call(now, host);
         } else {
@@ -746,10 +746,10 @@
     }
 
     /// A task stands that was set up or named on this connection.
-    fn stands_for(&mut self, ticket: Ticket, owner: OwnerId) {
+    fn stands_for(&mut self, ticket: Ticket, client: ClientId) {
         if let Some(request) = self.requests.get_mut(&ticket) {
-            request.home = Some(owner);
-            self.owners.count_standing(owner, true);
+            request.home = Some(client);
+            self.clients.count_standing(client, true);
         }
     }
 
@@ -792,15 +792,15 @@
                 request.set_up = None;
                 let (stretch, in_aim) =
                     (elapsed as f64 / request.aim as f64, now - request.since <= request.aim);
-                let (owner, class) = (request.owner.take(), request.class);
+                let (client, class) = (request.client.take(), request.class);
                 self.enter(ticket, State::Standing { attempt, host: host.clone(), since: now });
                 self.settle(now, host, true);
-                if let Some(owner) = owner {
+                if let Some(client) = client {
                     self.tally.ended(class, Told::Served);
-                    self.owners.send(now, owner, &binary::answer(id, &description));
-                    self.owners.settled(owner, ticket);
-                    self.owners.prove(owner);
-                    self.stands_for(ticket, owner);
+                    self.clients.send(now, client, &binary::answer(id, &description));
+                    self.clients.settled(client, ticket);
+                    self.clients.prove(client);
+                    self.stands_for(ticket, client);
                 }
                 if let Some(link) = self.hosts.get_mut(host) {
                     link.full_at = None;
@@ -810,7 +810,7 @@
                 self.tell(now, News::Placed { ticket, attempt, host: host.clone(), elapsed });
             }
             // The task's own time is over: hosts release it so wherever it is offered. Guards against
-            // offering it again and holding each of these hosts for broken; its owner is told the cause.
+            // offering it again and holding each of these hosts for broken; its client is told the cause.
             (State::Out { attempt, host: h, since, .. }, HostWord::Down(cause::NORMAL, detail))
                 if h == host =>
             {
@@ -931,8 +931,8 @@
         Hand {
             owed,
             standing: self.requests.len() - owed,
-            untold: self.owners.untold(now),
-            unflushed: self.owners.unflushed(),
+            untold: self.clients.untold(now),
+            unflushed: self.clients.unflushed(),
         }
     }
 
@@ -971,7 +971,7 @@
             zones: zones.into_values().collect(),
             roomy: ordinary.filter(|_| listed > 0).map(|_| f64::from(roomy) / f64::from(listed)),
             full: f64::from(full) / f64::from(listed.max(1)),
-            descriptors: self.owners.live() as f64 / self.owners.budget(self.hosts_in_use()) as f64,
+            descriptors: self.clients.live() as f64 / self.clients.budget(self.hosts_in_use()) as f64,
             queues: conn::queued_share(),
         };
         let hand = self.hand();
@@ -990,7 +990,7 @@
         }
     }
 
-    /// The longest wait of an owner, as the platform counts it at an end of the process.
+    /// The longest wait of a client, as the platform counts it at an end of the process.
     fn closing_wait(&self) -> Micros {
         self.facade.longest().clamp(0, CLOSE_WAIT)
     }
@@ -1014,9 +1014,9 @@
         if self.watch.as_ref().is_some_and(Watch::draining) {
             return false;
         }
-        let clear = !self.requests.values().any(Request::owes) && self.owners.flushed();
+        let clear = !self.requests.values().any(Request::owes) && self.clients.flushed();
         if self.duty.leaves() {
-            return (clear && self.owners.at_rest(now)) || self.duty.overdue(now);
+            return (clear && self.clients.at_rest(now)) || self.duty.overdue(now);
         }
         let end = self.closing_wait() + CLOSE_END;
         now - since >= end || (now - since >= CLOSE_OPEN.min(end) && clear)
@@ -1043,7 +1043,7 @@
                         && *r == round
                     {
                         let _ = stop.try_send(());
-                        self.host_unmade(&host, round, Unmade::TimedOut);
+                        self.dial_failed(&host, round, DialError::TimedOut);
                     }
                 }
                 Due::Redial(host, round) => {
@@ -1060,7 +1060,7 @@
                 }
                 Due::Unlisted(ticket) => self.end_unlisted(now, ticket),
                 Due::Sweep => {
-                    self.owners.sweep(now);
+                    self.clients.sweep(now);
                     self.sweep_links(now);
                     self.gate.sweep(now);
                     self.orders.iter().for_each(|gate| gate.sweep(now));
@@ -1104,7 +1104,7 @@
 }
 
 impl Request {
-    /// Whether its owner waits for an answer.
+    /// Whether its client waits for an answer.
     fn owes(&self) -> bool {
         matches!(self.state, State::Held | State::Out { .. })
     }
--- a/src/net/dispatch/links.rs
+++ b/src/net/dispatch/links.rs
@@ -3,7 +3,7 @@
 use super::{Dispatch, Due, MILLI, Request, STUCK, State};
 use crate::net::codec::feed::Listed;
 use crate::net::conn::{Conn, End};
-use crate::net::hosts::{self, Link, Phase, Round, Unmade, Waiting};
+use crate::net::hosts::{self, DialError, Link, Phase, Round, Waiting};
 use anisehead::descriptors::{Answer, Rank, Want};
 use anisehead::facade::{News, Ticket};
 use anisehead::health::Event;
@@ -18,13 +18,13 @@
 const UNREACHED: Micros = 1_500 * MILLI;
 /// And how long nothing may have been heard of it before. A machine that was cut off runs on and comes back,
 /// one that has vanished does not, and from here they look alike; the list names what is gone. A task that
-/// ended unheard is owed to its owner within 8 s of its end (the protocol's figure), and what stands has not
-/// ended before its host was last heard. The rest is for a tick and the way to the owner.
+/// ended unheard is owed to its client within 8 s of its end (the protocol's figure), and what stands has not
+/// ended before its host was last heard. The rest is for a tick and the way to the client.
 const UNHEARD: Micros = 7_700 * MILLI;
 /// Replaced connections to a host that are kept.
 const MOST_DOUBTED: usize = 3;
 /// How long a host at which tasks stand is left without a connection. It tells their ends on one only, and
-/// they are owed to owners within 8 s (the protocol's figure): of these a visit may wait for a slot, and a
+/// they are owed to clients within 8 s (the protocol's figure): of these a visit may wait for a slot, and a
 /// host that does not answer it is called until `UNREACHED` has passed.
 const VISIT: Micros = 3_000 * MILLI;
 
@@ -37,7 +37,7 @@
     /// The host has not closed in time.
     pub(super) fn end_read_off(&self, host: &HostId, round: Round) {
         if let Some(conn) = self.hosts.get(host).and_then(|link| link.open(round)) {
-            conn.stop(End::Crowded);
+            conn.stop(End::Shed);
         }
     }
 
@@ -48,16 +48,16 @@
 
     /// Shares the descriptors out anew.
     pub(super) fn share_out(&mut self) {
-        self.pool.resize(self.owners.shares(self.in_use).hosts);
+        self.pool.resize(self.clients.shares(self.in_use).hosts);
         self.make_way(self.clock.now());
     }
 
-    /// Takes back from owners what hosts need now. Guards against idle clients that hold, from the time when few
+    /// Takes back from clients what hosts need now. Guards against idle clients that hold, from the time when few
     /// hosts were listed, the descriptors which are the hosts' by now: calls to these would fail.
     fn reclaim(&mut self, now: Micros) {
-        let shares = self.owners.shares(self.in_use);
-        let held = self.owners.live() + self.pool.held();
-        self.owners.shed(now, held.saturating_sub(shares.owners + shares.hosts));
+        let shares = self.clients.shares(self.in_use);
+        let held = self.clients.live() + self.pool.held();
+        self.clients.shed(now, held.saturating_sub(shares.clients + shares.hosts));
     }
 
     /// What a connection to a host is wanted for, if one more is. Guards against hundreds of placers that
@@ -127,7 +127,7 @@
                 link.doubted.push((round, conn));
                 self.wheel.add(now + READ_OFF, Due::ReadOff(host.clone(), round));
             } else if let Some(conn) = link.open(round) {
-                conn.stop(End::Crowded);
+                conn.stop(End::Shed);
             }
         }
         while let Some(host) = self.pool.call_next() {
@@ -319,7 +319,7 @@
     }
 
     /// The connection was not made: what waited for it never ran.
-    pub fn host_unmade(&mut self, host: &HostId, round: Round, why: Unmade) {
+    pub fn dial_failed(&mut self, host: &HostId, round: Round, why: DialError) {
         let now = self.clock.now();
         let Some(link) = self.hosts.get_mut(host) else { return };
         if link.round != round || !matches!(link.phase, Phase::Connecting(_)) {
@@ -333,12 +333,12 @@
             self.wheel.add(now + pause, Due::Redial(host.clone(), round));
         }
         let Some(link) = self.hosts.get_mut(host) else { return };
-        if why == Unmade::NoDescriptor {
+        if why == DialError::NoDescriptor {
             // Nothing of it is the host's.
             info!(peer = "host", host = &*host.0, connection = round, reason = %why, "connection ended");
             return self.never_ran(now, waiting, Outcome::Moot);
         }
-        link.refused = why == Unmade::Refused;
+        link.refused = why == DialError::Refused;
         link.failures = link.failures.saturating_add(1);
         let down_since = *link.down_since.get_or_insert(now);
         let first = link.failures == 1;
@@ -349,9 +349,9 @@
         let Some(link) = self.hosts.get(host) else { return };
         if link.heard <= link.dialled {
             // Nothing comes on what is open there. Guards against offers that wait there for an answer until
-            // their owners give up: what may be repeated goes elsewhere at once.
+            // their clients give up: what may be repeated goes elsewhere at once.
             link.conns().for_each(|conn| conn.stop(End::Silent));
-            if why == Unmade::Refused {
+            if why == DialError::Refused {
                 // Proof that the process is gone, and its tasks with it.
                 self.lose(now, host, Micros::MAX);
             } else {
--- a/src/net/dispatch/operating.rs
+++ b/src/net/dispatch/operating.rs
@@ -19,10 +19,10 @@
 
     /// Closes connections that carry no task for as long as balancers' drain or maintenance or this duty wants it.
     pub(super) fn close_idle(&mut self) {
-        self.owners.close_idle(self.closes_idle || self.duty.empties());
+        self.clients.close_idle(self.closes_idle || self.duty.empties());
     }
 
-    /// Whether owners' tests pass: the placer serves, if not this process.
+    /// Whether clients' tests pass: the placer serves, if not this process.
     pub fn placer_serves(&self) -> bool {
         self.duty.leaves() || self.serves()
     }
@@ -83,7 +83,7 @@
             info!(phase = self.duty.phase().as_str(), "duty");
         }
         if self.duty.empties() {
-            self.owners.close_spare(now);
+            self.clients.close_spare(now);
         }
         if let Some(share) = self.company.look(now) {
             let verdicts = self.facade.share(now, share);
--- a/src/net/health/agent.rs
+++ b/src/net/health/agent.rs
@@ -35,7 +35,7 @@
     }
 }
 
-/// The answer for a report. `maxconn` is the most connections that owners may hold, where that is told;
+/// The answer for a report. `maxconn` is the most connections that clients may hold, where that is told;
 /// it shrinks with the weight.
 pub fn answer(report: &Report, maxconn: Option<usize>) -> String {
     let cause = report.cause.map(|code| format!(" # {code}")).unwrap_or_default();
--- a/src/net/health/gate.rs
+++ b/src/net/health/gate.rs
@@ -13,7 +13,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Away {
     /// Its descriptor is needed for another.
-    Crowded,
+    Shed,
     /// It took too long.
     Late,
 }
@@ -41,7 +41,7 @@
 impl Place {
     /// Waits until the connection is sent away.
     pub async fn away(&self) -> Away {
-        self.away.recv().await.unwrap_or(Away::Crowded)
+        self.away.recv().await.unwrap_or(Away::Shed)
     }
 }
 
@@ -64,7 +64,7 @@
         if guests.len() >= self.most {
             let quietest = guests.iter().min_by_key(|(_, guest)| guest.turn).map(|(number, _)| *number);
             if let Some(guest) = quietest.and_then(|number| guests.remove(&number)) {
-                let _ = guest.away.try_send(Away::Crowded);
+                let _ = guest.away.try_send(Away::Shed);
             }
         }
         let (away, receiver) = async_channel::bounded(1);
@@ -98,38 +98,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use futures_lite::future;
-
-    fn sent(place: &Place) -> Option<Away> {
-        future::block_on(future::poll_once(place.away()))
-    }
-
-    #[test]
-    fn the_one_quiet_longest_makes_room() {
-        let gate = Gate::new(2);
-        let (first, second) = (gate.enter(100), gate.enter(100));
-        gate.stay(&first, 100);
-        let third = gate.enter(100);
-        assert_eq!((sent(&first), sent(&second), sent(&third)), (None, Some(Away::Crowded), None));
-        gate.leave(&second);
-        let fourth = gate.enter(100);
-        assert_eq!(
-            (sent(&first), sent(&fourth)),
-            (Some(Away::Crowded), None),
-            "one that was sent away frees nothing"
-        );
-    }
-
-    #[test]
-    fn whoever_takes_too_long_is_sent_away() {
-        let gate = Gate::new(8);
-        let (slow, kept) = (gate.enter(100), gate.enter(100));
-        gate.stay(&kept, 200);
-        gate.sweep(100);
-        assert_eq!(sent(&slow), None);
-        gate.sweep(101);
-        assert_eq!((sent(&slow), sent(&kept)), (Some(Away::Late), None));
-    }
-}
+mod tests;
--- a/src/net/health/mod.rs
+++ b/src/net/health/mod.rs
@@ -5,8 +5,8 @@
 mod http;
 pub mod watch;
 
+use super::clients::AcceptFailed;
 use super::dispatch::Shared;
-use super::owners::AcceptFailed;
 use crate::operator;
 use anisehead::Micros;
 use anisehead::health::drain::{Check, Poller};
@@ -21,7 +21,7 @@
 use tracing::{debug, info};
 
 /// How long the peer may take to read its answer and close.
-const FAREWELL: Micros = 1_000_000;
+const LINGER: Micros = 1_000_000;
 const CHUNK: usize = 1_024;
 
 /// Why a connection of a balancer ended; one log line each.
@@ -43,7 +43,7 @@
             End::Failed(kind) => write!(f, "failed:{kind}"),
             End::Malformed => f.write_str("malformed"),
             End::Refused(status) => write!(f, "refused:{status}"),
-            End::Away(Away::Crowded) => f.write_str("crowded"),
+            End::Away(Away::Shed) => f.write_str("shed"),
             End::Away(Away::Late) => f.write_str("late"),
         }
     }
@@ -106,8 +106,8 @@
         };
         let end = end.unwrap_or_else(|end| end);
         if matches!(end, End::Answered | End::Refused(_)) {
-            gate.stay(&place, shared.borrow().clock.now() + FAREWELL);
-            farewell(&stream).await;
+            gate.stay(&place, shared.borrow().clock.now() + LINGER);
+            linger(&stream).await;
         }
         end
     };
@@ -122,7 +122,7 @@
 
 /// Ends our side, and reads off what still comes: closing on unread input would reset the connection and
 /// could take the answer along.
-pub async fn farewell(stream: &Async<TcpStream>) {
+pub async fn linger(stream: &Async<TcpStream>) {
     let _ = stream.get_ref().shutdown(Shutdown::Write);
     let (mut stream, mut scratch, mut count) = (stream, [0; CHUNK], 0);
     while let Ok(n) = stream.read(&mut scratch).await {
@@ -216,14 +216,14 @@
     /// How long a poll may take.
     fn poll_time(&self, check: Check) -> Micros {
         let settings = self.watch.as_ref().map(|watch| &watch.settings);
-        settings.map_or(FAREWELL, |s| match check {
-            Check::Agent => micros(s.line_wait) + FAREWELL,
+        settings.map_or(LINGER, |s| match check {
+            Check::Agent => micros(s.line_wait) + LINGER,
             Check::Http => micros(s.request_time),
         })
     }
 
     fn idle_time(&self) -> Micros {
-        self.watch.as_ref().map_or(FAREWELL, |watch| micros(watch.settings.idle))
+        self.watch.as_ref().map_or(LINGER, |watch| micros(watch.settings.idle))
     }
 
     fn line_wait(&self) -> Duration {
@@ -231,7 +231,7 @@
     }
 
     fn agent_polled(&mut self, poller: Poller) -> String {
-        let (now, budget) = (self.clock.now(), self.owners.budget(self.hosts_in_use()));
+        let (now, budget) = (self.clock.now(), self.clients.budget(self.hosts_in_use()));
         let Some(watch) = &mut self.watch else { return String::new() };
         let maxconn = watch.settings.maxconn.then_some(budget);
         agent::answer(&watch.polled(now, poller), maxconn)
--- a/src/net/health/watch.rs
+++ b/src/net/health/watch.rs
@@ -48,7 +48,7 @@
         }
     }
 
-    /// Whether owners' tests pass.
+    /// Whether clients' tests pass.
     pub fn serves(&self) -> bool {
         self.health.state().serves()
     }
--- a/src/net/hosts.rs
+++ b/src/net/hosts.rs
@@ -1,10 +1,10 @@
 //! Connections to hosts: one for each, kept open, made again when lost.
 
+use super::clients::Mark;
 use super::codec::feed::Listed;
 use super::codec::{MOST_BYTES, lines, next_line};
 use super::conn::{Conn, End};
 use super::dispatch::Shared;
-use super::owners::Mark;
 use anisehead::facade::Ticket;
 use anisehead::{CellId, HostId, HostState, Micros, ZoneId};
 use async_channel::Sender;
@@ -155,7 +155,7 @@
 
 /// Why a connection was not made.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Unmade {
+pub enum DialError {
     /// Nothing listens there: proof that nothing ran, and that the process is gone.
     Refused,
     /// It never came up.
@@ -166,13 +166,13 @@
     Failed(ErrorKind),
 }
 
-impl std::fmt::Display for Unmade {
+impl std::fmt::Display for DialError {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         match self {
-            Unmade::Refused => f.write_str("unmade:refused"),
-            Unmade::TimedOut => f.write_str("unmade:timed-out"),
-            Unmade::NoDescriptor => f.write_str("unmade:no-descriptor"),
-            Unmade::Failed(kind) => write!(f, "unmade:{kind}"),
+            DialError::Refused => f.write_str("dial-failed:refused"),
+            DialError::TimedOut => f.write_str("dial-failed:timed-out"),
+            DialError::NoDescriptor => f.write_str("dial-failed:no-descriptor"),
+            DialError::Failed(kind) => write!(f, "dial-failed:{kind}"),
         }
     }
 }
@@ -205,12 +205,12 @@
         Some(Ok(stream)) => stream,
         Some(Err(e)) => {
             let why = match e.kind() {
-                _ if e.raw_os_error().is_some_and(|e| NO_DESCRIPTOR.contains(&e)) => Unmade::NoDescriptor,
-                ErrorKind::ConnectionRefused => Unmade::Refused,
-                ErrorKind::TimedOut | ErrorKind::HostUnreachable => Unmade::TimedOut,
-                kind => Unmade::Failed(kind),
+                _ if e.raw_os_error().is_some_and(|e| NO_DESCRIPTOR.contains(&e)) => DialError::NoDescriptor,
+                ErrorKind::ConnectionRefused => DialError::Refused,
+                ErrorKind::TimedOut | ErrorKind::HostUnreachable => DialError::TimedOut,
+                kind => DialError::Failed(kind),
             };
-            return shared.borrow_mut().host_unmade(host, round, why);
+            return shared.borrow_mut().dial_failed(host, round, why);
         }
         None => return,
     };
--- a/src/net/inherit.rs
+++ b/src/net/inherit.rs
@@ -4,8 +4,8 @@
 //! also keeps a connection over a Unix socket in `$TMPDIR` to the one before it: it ends with either of
 //! them, however that ends, so both know how many they are without asking.
 
+use super::clients::AcceptFailed;
 use super::dispatch::Shared;
-use super::owners::AcceptFailed;
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use futures_lite::{AsyncReadExt, future};
--- /dev/null
+++ b/src/net/log/tests.rs
@@ -0,0 +1,60 @@
+//! Tests of `log.rs`.
+
+use super::*;
+
+/// Takes so many bytes, then no more.
+struct Narrow(usize, Vec<u8>);
+
+impl Write for Narrow {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        let n = bytes.len().min(self.0);
+        if n == 0 {
+            return Err(ErrorKind::WouldBlock.into());
+        }
+        self.0 -= n;
+        self.1.extend_from_slice(bytes.get(..n).unwrap_or_default());
+        Ok(n)
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+#[test]
+fn lines_wait_in_order_and_beyond_the_bound_they_are_dropped_whole_and_counted() {
+    let mut queue = Queue::new(&operator::Log { queue: 30, ..operator::Log::default() });
+    let mut out = Narrow(5, Vec::new());
+    for n in 0..6 {
+        queue.push(format!("line {n} ..\n").as_bytes());
+        queue.pump(&mut out, || true);
+    }
+    assert_eq!((out.1.as_slice(), queue.dropped), (&b"line "[..], 3), "{queue:?}");
+    out.0 = 1_000;
+    queue.pump(&mut out, || true);
+    queue.pump(&mut out, || true);
+    let text = String::from_utf8(out.1).expect("text");
+    assert!(text.starts_with("line 0 ..\nline 1 ..\nline 2 ..\n"), "{text}");
+    assert!(text.ends_with("log lines dropped dropped=3\n"), "{text}");
+}
+
+#[test]
+fn what_is_not_ready_is_not_asked_and_what_is_closed_is_forgotten() {
+    struct Broken;
+    impl Write for Broken {
+        fn write(&mut self, _: &[u8]) -> io::Result<usize> {
+            Err(ErrorKind::BrokenPipe.into())
+        }
+        fn flush(&mut self) -> io::Result<()> {
+            Ok(())
+        }
+    }
+    let mut queue = Queue::new(&operator::Log::default());
+    queue.push(b"line\n");
+    queue.pump(&mut Broken, || false);
+    assert!(!queue.closed && !queue.waiting.is_empty());
+    queue.pump(&mut Broken, || true);
+    assert!(queue.closed && queue.waiting.is_empty());
+    queue.push(b"line\n");
+    assert!(queue.waiting.is_empty());
+}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,6 +1,7 @@
 //! The network side: one thread, one local executor, and [`dispatch::Dispatch`] in the middle.
 
 mod admin;
+mod clients;
 mod clock;
 mod codec;
 pub mod config;
@@ -12,7 +13,6 @@
 mod hosts;
 mod inherit;
 pub mod log;
-mod owners;
 mod wheel;
 
 use crate::operator::Operator;
@@ -71,11 +71,11 @@
         }
         let listener = match inherited {
             Some(listener) => listener,
-            None => owners::listen(listen)
+            None => clients::listen(listen)
                 .map_err(|e| io::Error::new(e.kind(), format!("listen: {listen}: {e}")))?,
         };
         let listener = Rc::new(listener);
-        executor.spawn(owners::accept(listener.clone(), shared.clone())).detach();
+        executor.spawn(clients::accept(listener.clone(), shared.clone())).detach();
         shared.borrow_mut().listens = true;
         let (moves, moved) = async_channel::unbounded();
         executor.spawn(feed::follow(feed, known_to, moved, shared.clone())).detach();
@@ -97,13 +97,13 @@
             dispatch.tick();
             if dispatch.finished() {
                 drop(dispatch);
-                if owners::last_call(&listener, &shared) {
+                if clients::last_call(&listener, &shared) {
                     continue;
                 }
                 break;
             }
         }
-        owners::farewell(&shared).await;
+        clients::linger(&shared).await;
         if let Some(socket) = &operator.ctl {
             let _ = std::fs::remove_file(socket);
         }
--- a/src/operation/duty.rs
+++ b/src/operation/duty.rs
@@ -1,4 +1,4 @@
-//! Whether this process takes requests, and which connections of owners it gives up.
+//! Whether this process takes requests, and which connections of clients it gives up.
 //!
 //! ```text
 //!              drain-on                  the front has heard the no, and
@@ -15,11 +15,11 @@
 //! ```
 //!
 //! *refusing*: every test fails; connections are kept, since for as long as the front may not have heard,
-//! owners whose connection closes come again on a new one. *emptying*: each connection is closed as soon as
+//! clients whose connection closes come again on a new one. *emptying*: each connection is closed as soon as
 //! it carries no task: no set-up is open on it, nothing waits to be read, and of the tasks that were placed on
 //! it none stands, so that the end of each can be told. What has come is answered in every phase: nothing is
 //! turned away, and tasks stand on. *leaving*: as emptying, but what waits to be accepted is the other
-//! process's. Owners' tests pass, since the placer serves; operators are told that this process does not.
+//! process's. Clients' tests pass, since the placer serves; operators are told that this process does not.
 
 use crate::Micros;
 
@@ -28,7 +28,7 @@
 const CROSSING: Micros = 250 * MILLI;
 /// Nobody may be asking: then the order itself counts as heard after so long.
 const UNASKED: Micros = 600 * MILLI;
-/// The platform ends a process that leaves after the longest wait of an owner, counted as this at the most,
+/// The platform ends a process that leaves after the longest wait of a client, counted as this at the most,
 /// and 700 ms more. What is owed is answered within the first, and the process ends within the second.
 const MOST_WAIT: Micros = 5_000 * MILLI;
 const LEAVE_ANSWER: Micros = 350 * MILLI;
@@ -41,7 +41,7 @@
     DrainOn,
     /// An operator wants it back at work.
     DrainOff,
-    /// The process is to end, and another accepts in its place. The longest wait of an owner.
+    /// The process is to end, and another accepts in its place. The longest wait of a client.
     Leave(Micros),
     /// Somebody asked whether this process serves, and was told.
     Asked,
@@ -161,66 +161,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    /// Plays events at their times (ms) with a look each 50 ms: the effects and when they came.
-    fn play(events: &[(Micros, Event)], until: Micros) -> Vec<(Micros, Effect)> {
-        let (mut duty, mut effects) = (Duty::default(), Vec::new());
-        for at in (0..=until).step_by(50) {
-            let due = events.iter().filter(|(when, _)| *when == at).map(|(_, event)| *event);
-            for event in due.chain([Event::Look]) {
-                let serving = duty.serves();
-                effects.extend(duty.handle(at * MILLI, event).map(|effect| (at, effect)));
-                assert!(event != Event::Asked || duty.serves() == serving, "a question changes nothing");
-            }
-        }
-        effects
-    }
-
-    #[test]
-    fn connections_go_once_the_front_has_heard_and_what_crossed_has_come() {
-        let heard = [(100, Event::DrainOn), (150, Event::Asked), (250, Event::Asked)];
-        assert_eq!(play(&heard, 2_000), [(400, Effect::Empty(true))], "the first no counts");
-        assert_eq!(play(&[(100, Event::DrainOn)], 2_000), [(700, Effect::Empty(true))], "nobody asks");
-        let back = [(100, Event::DrainOn), (150, Event::Asked), (1_000, Event::DrainOff)];
-        assert_eq!(play(&back, 2_000), [(400, Effect::Empty(true)), (1_000, Effect::Empty(false))]);
-    }
-
-    #[test]
-    fn a_process_that_leaves_gives_every_owner_its_time_and_is_over_before_the_platform_ends_it() {
-        for (longest, answer, end) in [(2_000, 2_350, 2_550), (5_000, 5_350, 5_550), (60_000, 5_350, 5_550)] {
-            let mut duty = Duty::default();
-            let effect = duty.handle(MILLI, Event::Leave(longest * MILLI));
-            assert_eq!(effect, Some(Effect::Leave(answer * MILLI)));
-            assert!(answer >= longest.min(5_000) && end < longest.min(5_000) + 700);
-            assert!(!duty.overdue(end * MILLI) && duty.overdue((end + 1) * MILLI));
-            for event in [Event::DrainOn, Event::DrainOff, Event::Look, Event::Leave(0)] {
-                assert_eq!(duty.handle(9_000 * MILLI, event), None, "{event:?}");
-                assert!(duty.leaves() && !duty.serves() && duty.empties());
-            }
-        }
-        for before in [Event::DrainOn, Event::Asked, Event::DrainOff] {
-            let mut duty = Duty::default();
-            duty.handle(0, before);
-            assert!(duty.handle(1, Event::Leave(0)).is_some() && duty.leaves(), "{before:?}");
-        }
-    }
-
-    #[test]
-    fn orders_given_twice_or_taken_back_early_change_nothing_more() {
-        let twice = [(0, Event::DrainOn), (50, Event::Asked), (300, Event::DrainOn), (500, Event::DrainOn)];
-        assert_eq!(play(&twice, 2_000), [(300, Effect::Empty(true))]);
-        assert_eq!(play(&[(0, Event::DrainOn), (50, Event::DrainOff)], 2_000), []);
-        assert_eq!(play(&[(0, Event::DrainOff), (50, Event::Asked)], 2_000), []);
-        // A no of an earlier drain is no no of this one.
-        let again = [
-            (0, Event::DrainOn),
-            (0, Event::Asked),
-            (50, Event::DrainOff),
-            (1_000, Event::DrainOn),
-            (1_500, Event::Asked),
-        ];
-        assert_eq!(play(&again, 3_000), [(1_600, Effect::Empty(true))]);
-    }
-}
+mod tests;
--- a/src/operation/tally.rs
+++ b/src/operation/tally.rs
@@ -1,6 +1,6 @@
 //! What this process has done since its start, by class.
 
-/// How a request ended, as its owner was told.
+/// How a request ended, as its client was told.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Ended {
     /// A host has started the task.
@@ -58,25 +58,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn each_end_counts_once_for_its_class_and_strangers_count_nowhere() {
-        let mut tally = Tally::new(2);
-        for (class, how) in [
-            (Some(0), Ended::Served),
-            (Some(1), Ended::Served),
-            (Some(1), Ended::Refused),
-            (Some(1), Ended::Failed),
-            (Some(2), Ended::Served),
-            (None, Ended::Failed),
-        ] {
-            tally.ended(class, how);
-        }
-        tally.offered(Some(1));
-        tally.offered(None);
-        let first = Counts { served: 1, ..Counts::default() };
-        assert_eq!(tally.classes(), [first, Counts { served: 1, refused: 1, failed: 1, attempts: 1 }]);
-    }
-}
+mod tests;
--- a/src/overload/gate.rs
+++ b/src/overload/gate.rs
@@ -56,7 +56,7 @@
     }
 }
 
-/// Whether an owner asks for the first time. One that asks again can hardly have its task start in time.
+/// Whether a client asks for the first time. One that asks again can hardly have its task start in time.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Turn {
     /// It does.
@@ -75,7 +75,7 @@
     pub priority: u8,
     /// The part of what its tenant asks that is within its share.
     pub within: f64,
-    /// Whether its owner has asked before.
+    /// Whether its client has asked before.
     pub turn: Turn,
     /// A hash of the task's name, the same at every placer.
     pub name: u64,
--- a/src/overload/mod.rs
+++ b/src/overload/mod.rs
@@ -10,7 +10,7 @@
 //! | [`line`] | own offers out at one host | the delay of own starts |
 //! | [`gate`] | which tasks are let through | late starts, and one order of tasks alike at all placers |
 //! | [`attempts`] | attempts beyond a task's first | fresh first ones |
-//! | [`returns`] | when refused owners come back | the gate's step, spread by a hash |
+//! | [`returns`] | when refused clients come back | the gate's step, spread by a hash |
 //! | [`turns`] | who calls and tries a host in doubt | ranks of placers, and the clock |
 //!
 //! See `docs/design/overload.md`.
@@ -36,7 +36,7 @@
 const CELLS_OF_ROOM: usize = 2;
 /// The part of a cell's hosts in doubt from which on the cell counts.
 const PART_OF_CELL: f64 = 0.5;
-/// Owners told to stay away that are remembered; beyond them the oldest are forgotten.
+/// Clients told to stay away that are remembered; beyond them the oldest are forgotten.
 pub const MOST_AWAY: usize = 8_192;
 
 /// The parts that are on, and what they go by.
@@ -110,7 +110,7 @@
         /// Why.
         detail: Detail,
     },
-    /// The task is out of this placer's hands: refused, failed, or given up by its owner.
+    /// The task is out of this placer's hands: refused, failed, or given up by its client.
     Over {
         /// The ask.
         id: &'a ReqId,
@@ -126,7 +126,7 @@
 pub struct Admission {
     /// Its place in the order of shedding: let through where it is less than the bound's part.
     pub order: f64,
-    /// How long its owner should stay away if it is refused; 0: the module says.
+    /// How long its client should stay away if it is refused; 0: the module says.
     pub away: Micros,
 }
 
@@ -137,7 +137,7 @@
     aim: Micros,
     name: u64,
     fresh: bool,
-    /// How long its owner is told to stay away if it is refused.
+    /// How long its client is told to stay away if it is refused.
     away: Micros,
     attempts: u32,
     out: Option<(HostId, Micros)>,
@@ -166,13 +166,13 @@
 /// What was decided, counted since the start.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Counters {
-    /// Tasks asked for: fresh ones, and those marked by their owners as repeats.
+    /// Tasks asked for: fresh ones, and those marked by their clients as repeats.
     pub fresh: u64,
     /// Repeats.
     pub repeats: u64,
     /// Shed at once.
     pub shed: u64,
-    /// Of those, asked again before the time that their owner was told.
+    /// Of those, asked again before the time that their client was told.
     pub early: u64,
     /// Let through and given up: too late to start in time, or out of attempts.
     pub given_up: u64,
@@ -247,7 +247,7 @@
     pub through: f64,
     /// Further attempts that are left; none where they are not bounded.
     pub left: Option<f64>,
-    /// Owners told to stay away, whose time is not over.
+    /// Clients told to stay away, whose time is not over.
     pub away: usize,
     /// The counters.
     pub counters: Counters,
@@ -281,7 +281,7 @@
     /// No offer more could go out.
     full: bool,
     in_hand: BTreeMap<ReqId, InHand>,
-    /// Owners told to stay away, by the hash of their task's name; and in the order of their times.
+    /// Clients told to stay away, by the hash of their task's name; and in the order of their times.
     away: BTreeMap<u64, Micros>,
     away_until: BTreeSet<(Micros, u64)>,
     look_at: Micros,
@@ -439,7 +439,7 @@
         self.gate.as_ref().map_or(0, Gate::step)
     }
 
-    // ---- Owners ----
+    // ---- Clients ----
 
     /// The part of what a tenant asks here that is within its share, as far as this placer sees: its own
     /// asks, as many times as there are placers.
@@ -453,7 +453,7 @@
         if *quota > 0.0 && asked > *quota { quota / asked } else { 1.0 }
     }
 
-    /// Whether an owner was told to stay away longer.
+    /// Whether a client was told to stay away longer.
     fn early(&self, now: Micros, name: u64) -> bool {
         self.away.get(&name).is_some_and(|until| now < *until)
     }
@@ -469,7 +469,7 @@
             self.away_until.remove(&(until, old));
             self.away.remove(&old);
         }
-        // A little less: its owner's clock and the way here are not ours.
+        // A little less: its client's clock and the way here are not ours.
         let until = now + away - away / 16;
         if let Some(before) = self.away.insert(name, until) {
             self.away_until.remove(&(before, name));
@@ -622,7 +622,7 @@
                 (Outcome::Full, Detail::Busy) => at.line.crowded(now, sent),
                 (Outcome::Timeout, _) => at.line.lost(now, sent, true),
                 (Outcome::ConnectFailed, _) => at.line.lost(now, sent, false),
-                // What its owner gave up, and what never left, tell nothing of the host.
+                // What its client gave up, and what never left, tell nothing of the host.
                 (Outcome::Cancelled | Outcome::Moot, _) => at.line.ended(false),
                 (Outcome::Reset, Detail::None) => at.line.lost(now, sent, false),
                 _ => at.line.ended(true),
--- a/src/overload/returns.rs
+++ b/src/overload/returns.rs
@@ -1,4 +1,4 @@
-//! When refused owners are told to come back.
+//! When refused clients are told to come back.
 //!
 //! One time for all brings all back together. Times are spread over a span by a hash of the task's name, so
 //! that all placers together see returns as even as refusals were. The span begins where starts that are out
@@ -13,7 +13,7 @@
 /// Where less than an aim is honoured, the span is this part of it, at its end.
 const LEAST_PART: f64 = 0.5;
 
-/// How long an owner should stay away; 0 where no time may be told.
+/// How long a client should stay away; 0 where no time may be told.
 pub fn away(step: u8, name: u64, epoch: u64, aim: Micros, most: Micros) -> Micros {
     if most <= 0 {
         return 0;
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -873,8 +873,8 @@
         self.jobs.close(id);
     }
 
-    /// When a refused owner should come back: once the offers that are out now have had time to start.
-    /// Guards against repeats that can find nothing new; harm: none seen, owners wait longer by themselves.
+    /// When a refused client should come back: once the offers that are out now have had time to start.
+    /// Guards against repeats that can find nothing new; harm: none seen, clients wait longer by themselves.
     fn retry_after(&self, task: &Task) -> Micros {
         let away = if task.away > 0 { task.away } else { self.window };
         if self.s.retry_after { away.min(self.s.max_retry_after) } else { 0 }
--- a/tests/endings.rs
+++ b/tests/endings.rs
@@ -135,7 +135,7 @@
         drop(owner);
         std::thread::sleep(Duration::from_millis(300));
     });
-    program.logged("connection ended peer=\"owner\"");
+    program.logged("connection ended peer=\"client\"");
     assert_eq!(offered_until_last(&program, &hosts, &mut Vec::new()), NONE, "{}", program.log());
 }
 
--- a/tests/fronts.rs
+++ b/tests/fronts.rs
@@ -186,7 +186,7 @@
     fronts.conns[0].up(&hex(1));
     assert_eq!(owner.read().kind, 9);
     assert!(begun.elapsed() < SECOND, "{:?}", begun.elapsed());
-    fronts.program.logged("reason=crowded");
+    fronts.program.logged("reason=shed");
     drop(silent);
 }
 
@@ -205,7 +205,7 @@
         ("[health]\nagents = 1\n".to_string(), "toml:2:1: health.agents: unknown, perhaps agent is meant"),
         (
             format!("[health]\nagent = [\"{}\"]\n", config.get_str("listen").expect("an address")),
-            "is where owners connect",
+            "is where clients connect",
         ),
     ] {
         let out = Launch::new(&config).operator(&operator).output();
@@ -432,7 +432,7 @@
             });
             let text = told.join().expect("a reader");
             assert!(
-                text.contains("connection ended peer=\"owner\"") && text.contains("reason=malformed:"),
+                text.contains("connection ended peer=\"client\"") && text.contains("reason=malformed:"),
                 "{text}"
             );
         }
@@ -454,7 +454,7 @@
         .map(|line| simd_json::to_owned_value(&mut line.as_bytes().to_vec()).expect(line))
         .collect();
     let ended = lines.iter().find(|line| line.get_str("reason").is_some_and(|r| r.starts_with("malformed:")));
-    assert_eq!(ended.and_then(|line| line.get_str("peer")), Some("owner"), "{log}");
+    assert_eq!(ended.and_then(|line| line.get_str("peer")), Some("client"), "{log}");
 }
 
 fn program_ready(program: &Program) -> &Program {
--- a/tests/operating.rs
+++ b/tests/operating.rs
@@ -197,7 +197,7 @@
     conns[0].up(&id);
     assert_eq!(owner.read().kind, 9);
     drop(owner);
-    program.logged("peer=\"owner\"");
+    program.logged("peer=\"client\"");
     conns[0].down(&id, 16, "");
     conns[0].expect("ack");
     let mut front = program.owner();
