--- a/tests/endings.rs
+++ b/tests/endings.rs
@@ -547,16 +547,21 @@
     assert!(program.exit().success());
 }
 
+/// A program whose configuration is a pipe: it has begun to read it once the pipe can be opened for writing.
+fn start_on_a_pipe(config: &simd_json::OwnedValue) -> (Program, std::path::PathBuf) {
+    let pipe = scratch("pipe");
+    let made = std::process::Command::new("mkfifo").arg(&pipe).status();
+    assert!(made.expect("mkfifo runs").success());
+    (Launch::new(config).env("LB_CONFIG", &pipe.to_string_lossy()).start(), pipe)
+}
+
 // SIGTERM comes when the program has just begun to read its file: it starts, and ends as it should.
 #[test]
 fn a_process_that_is_to_end_while_it_starts_ends_in_order() {
     let feed = Feed::new();
     let host = Host::new("h0", "north");
     let config = config(&feed, vec![host.entry("up", 0)]);
-    let pipe = scratch("pipe");
-    let made = std::process::Command::new("mkfifo").arg(&pipe).status();
-    assert!(made.expect("mkfifo runs").success());
-    let mut program = Launch::new(&config).env("LB_CONFIG", &pipe.to_string_lossy()).start();
+    let (mut program, pipe) = start_on_a_pipe(&config);
     let mut file = OpenOptions::new().write(true).open(&pipe).expect("it reads");
     program.terminate();
     file.write_all(config.encode().as_bytes()).expect("it reads");
@@ -633,10 +638,7 @@
     let feed = Feed::new();
     let host = Host::new("h0", "north");
     let config = config(&feed, vec![host.entry("up", 0)]);
-    let pipe = scratch("pipe");
-    let made = std::process::Command::new("mkfifo").arg(&pipe).status();
-    assert!(made.expect("mkfifo runs").success());
-    let mut program = Launch::new(&config).env("LB_CONFIG", &pipe.to_string_lossy()).start();
+    let (mut program, pipe) = start_on_a_pipe(&config);
     let write = |file: std::io::Result<std::fs::File>| {
         file.and_then(|mut file| file.write_all(config.encode().as_bytes())).expect("it reads");
     };
