--- a/benches/fleet.rs
+++ b/benches/fleet.rs
@@ -1,4 +1,4 @@
-//! What the size of the fleet costs: memory, and CPU of an owner's connection that comes and goes, of a task that
+//! What the size of the fleet costs: memory, and CPU of a client's connection that comes and goes, of a task that
 //! is placed and of an event of the feed, among 10, 100, 400 and 1,000 hosts, each with a program of its own.
 //!
 //! `cargo bench --bench fleet`; `ANISEHEAD_BIN` names another version's program to hold against it.
@@ -42,28 +42,28 @@
         let mut config = deployment("n0", 0, 1, &feed.address(), entries);
         config["limits"] = json!({ "cores": 1.0, "memory_mb": 192, "sockets": 8_192 });
         let program = Launch::new(&config).descriptors(8_192).start();
-        let mut owner = program.owner();
-        assert!(owner.test());
+        let mut client = program.client();
+        assert!(client.test());
         std::thread::sleep(Duration::from_secs(2));
         let connection = program.cpu_each(TIMES, || {
-            (0..TIMES).for_each(|_| assert!(program.owner().test()));
+            (0..TIMES).for_each(|_| assert!(program.client().test()));
         });
         let task = program.cpu_each(TIMES, || {
             for id in 1..=u64::from(TIMES) {
-                owner.set_up(id, &Ask { class: "quick", wait_ms: 6_000, service: id, at: None });
+                client.set_up(id, &Ask { class: "quick", wait_ms: 6_000, service: id, at: None });
                 loop {
-                    let message = owner.read();
+                    let message = client.read();
                     match (message.kind, message.id == id) {
                         (9, true) => break,
-                        (12, _) => owner.heard(message.id),
+                        (12, _) => client.heard(message.id),
                         other => panic!("{other:?}"),
                     }
                 }
             }
         });
         until("the tasks have ended", || {
-            while let Ok(Some(message)) = owner.message_within(Duration::from_millis(5)) {
-                owner.heard(message.id);
+            while let Ok(Some(message)) = client.message_within(Duration::from_millis(5)) {
+                client.heard(message.id);
             }
             let books = books.lock().expect("books");
             books.starts.last().is_none_or(|last| last.at.elapsed() > Duration::from_secs(4)).then_some(())
--- a/benches/health_polls.rs
+++ b/benches/health_polls.rs
@@ -81,17 +81,17 @@
     std::thread::sleep(Duration::from_millis(500));
     let (cpu, begun, mut waits) = (program.cpu(), Instant::now(), Vec::new());
     done.store(0, Ordering::Relaxed);
-    let mut owner = program.owner();
+    let mut client = program.client();
     while begun.elapsed() < span {
         let due = begun + Duration::from_millis(20 * waits.len() as u64);
         std::thread::sleep(due.saturating_duration_since(Instant::now()));
         *first_id += 1;
-        owner.set_up(*first_id, &Ask { class: "quick", wait_ms: 6_000, service: *first_id, at: None });
+        client.set_up(*first_id, &Ask { class: "quick", wait_ms: 6_000, service: *first_id, at: None });
         loop {
-            let message = owner.read();
+            let message = client.read();
             match (message.kind, message.id == *first_id) {
                 (9, true) => break,
-                (12, false) => owner.heard(message.id),
+                (12, false) => client.heard(message.id),
                 other => panic!("{other:?}"),
             }
         }
--- a/crates/load/src/network.rs
+++ b/crates/load/src/network.rs
@@ -118,7 +118,7 @@
             }
             for n in all {
                 match kind {
-                    Kind::Owners => drop(ends.insert(End::Owners)),
+                    Kind::Owners => drop(ends.insert(End::Clients)),
                     Kind::Placers => drop(ends.insert(End::Placer(n))),
                     Kind::Hosts => drop(ends.insert(End::Host(n))),
                     Kind::Feeds => drop(ends.insert(End::Feed(n))),
@@ -143,7 +143,7 @@
     for (from, to) in [(one, other), (other, one)] {
         for (a, b) in from.iter().flat_map(|a| to.iter().map(move |b| (a, b))) {
             match (a, b) {
-                (End::Owners, End::Placer(n)) => drop(links.insert((*n, Peer::Owners))),
+                (End::Clients, End::Placer(n)) => drop(links.insert((*n, Peer::Clients))),
                 (End::Placer(n), End::Host(place)) => drop(links.insert((*n, Peer::Host(*place)))),
                 (End::Placer(n), End::Feed(of)) if n == of => drop(links.insert((*n, Peer::Feed))),
                 _ => {}
@@ -218,7 +218,7 @@
         for (placer, peer) in &relayed {
             let from = End::Placer(*placer);
             match peer {
-                Peer::Owners => {}
+                Peer::Clients => {}
                 Peer::Host(place) => {
                     let address = site.address(*placer, *place);
                     let address = address.ok_or_else(|| io::Error::other("no such host"))?;
@@ -237,10 +237,10 @@
     /// Where owners call a placer: its relay, if that link has one.
     pub fn owners_call(&self, placer: usize, keeper: &Keeper) -> io::Result<Option<SocketAddr>> {
         let Some(listen) = keeper.listen(placer) else { return Ok(None) };
-        if !self.relayed.contains(&(placer, Peer::Owners)) {
+        if !self.relayed.contains(&(placer, Peer::Clients)) {
             return Ok(Some(listen));
         }
-        self.links.relay(End::Owners, End::Placer(placer), listen).map(Some)
+        self.links.relay(End::Clients, End::Placer(placer), listen).map(Some)
     }
 
     /// A fault of the plan begins or ends.
@@ -287,11 +287,11 @@
             ("placers 1", "hosts 0..2", hosts(1, &[0, 1])),
             ("hosts 0..2", "placers 1", hosts(1, &[0, 1])),
             ("racks 2", "placers 0", hosts(0, &[4])),
-            ("owners", "placers 0..2", vec![(0, Peer::Owners), (1, Peer::Owners)]),
+            ("owners", "placers 0..2", vec![(0, Peer::Clients), (1, Peer::Clients)]),
             ("placers", "feeds 2", vec![(2, Peer::Feed)]),
             // A room is its hosts and its placers: it is parted from the other.
             ("rooms 0", "rooms 1", [hosts(0, &[1, 3]), hosts(1, &[0, 2, 4]), hosts(2, &[1, 3])].concat()),
-            ("owners, feeds", "placers 2", vec![(2, Peer::Owners), (2, Peer::Feed)]),
+            ("owners, feeds", "placers 2", vec![(2, Peer::Clients), (2, Peer::Feed)]),
         ] {
             let plan = plan(&link("link-cut", from, to)).expect(from);
             let found = struck(&plan, &plan.faults[0]).expect(from);
--- a/crates/standin/src/audit.rs
+++ b/crates/standin/src/audit.rs
@@ -1,4 +1,4 @@
-//! The rules, checked on what owners, hosts, feeds and the keeper of the placers wrote down.
+//! The rules, checked on what clients, hosts, feeds and the keeper of the placers wrote down.
 //!
 //! Each party notes what it sent and saw with the time of the one clock. After a run [`check`] joins the
 //! notes task by task and names each broken rule with the notes that show it. It looks at nothing else.
@@ -20,7 +20,7 @@
     Gone,
 }
 
-/// What an owner was told.
+/// What a client was told.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Told {
     /// The task stands; the fingerprint of the description.
@@ -64,8 +64,8 @@
 /// Whom a placer has a link with.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Peer {
-    /// All owners.
-    Owners,
+    /// All clients.
+    Clients,
     /// The host in a place.
     Host(usize),
     /// Its feed.
@@ -75,7 +75,7 @@
 /// One note.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Note {
-    /// An owner has written a whole set-up.
+    /// A client has written a whole set-up.
     Sent {
         /// Its id.
         id: u64,
@@ -87,16 +87,16 @@
         service: u64,
         /// The placer.
         placer: usize,
-        /// How long the owner waits.
+        /// How long the client waits.
         wait: Micros,
         /// The fingerprint of its description.
         description: u64,
         /// The host that holds it already.
         at: Option<usize>,
     },
-    /// An owner has read a word.
+    /// A client has read a word.
     Told(u64, Told),
-    /// An owner has given a set-up up.
+    /// A client has given a set-up up.
     GaveUp(u64),
     /// The connection of an open set-up ended.
     Broken(u64),
@@ -450,10 +450,10 @@
         }
         let due = at + wait + self.rules.answer_grace + self.rules.slack;
         let hindered = self.lives.get(&placer).is_some_and(|lives| lives.hindered(at, due))
-            || self.held(placer, Peer::Owners, at, due);
+            || self.held(placer, Peer::Clients, at, due);
         match first {
             Some((when, _)) if when > due && !hindered => self.report(Rule::LateAnswer, id, shown()),
-            // Its owner gives up when its time is over, and not before it: then an answer was owed.
+            // Its client gives up when its time is over, and not before it: then an answer was owed.
             None if !hindered && self.end > due => {
                 let early = excused.is_some_and(|when| when < at + wait - self.rules.slack);
                 if !early {
@@ -541,7 +541,7 @@
         let notes = self.of(id);
         let mut up = None;
         let mut over = None;
-        // Where it stands, as its owner was told. A copy elsewhere, whose start nobody heard, ends unheard.
+        // Where it stands, as its client was told. A copy elsewhere, whose start nobody heard, ends unheard.
         let mut stands = None;
         for (at, note) in &notes {
             match note {
@@ -568,14 +568,14 @@
             _ => None,
         });
         let due = over.max(up) + within + self.rules.slack;
-        let held =
-            placer.is_some_and(|p| self.held(p, Peer::Owners, over, due) || self.held_to(p, host, over, due));
+        let held = placer
+            .is_some_and(|p| self.held(p, Peer::Clients, over, due) || self.held_to(p, host, over, due));
         let hindered =
             held || placer.and_then(|p| self.lives.get(&p)).is_some_and(|lives| lives.hindered(up, due));
         let told = notes.iter().any(|(at, note)| {
             matches!(note, Note::Told(_, Told::Released(_) | Told::Moved)) && *at >= up && *at <= due
         });
-        // An owner that ended it itself is owed nothing.
+        // A client that ended it itself is owed nothing.
         let given_up = notes.iter().any(|(_, note)| matches!(note, Note::GaveUp(_)));
         if !told && !hindered && !given_up && self.end > due {
             self.report(Rule::EndUntold, id, notes.iter().map(|n| (*n).clone()).collect());
@@ -934,7 +934,7 @@
                 ),
             ),
             ("its connection broke", planted(untold, vec![(2 * SECOND, Note::Broken(9))])),
-            ("its owner gave up early", planted(untold, vec![(2 * SECOND, Note::GaveUp(9))])),
+            ("its client gave up early", planted(untold, vec![(2 * SECOND, Note::GaveUp(9))])),
             (
                 "told to end",
                 planted(
@@ -986,7 +986,7 @@
                 Rule::NoAnswer,
                 planted(|n| *n == Note::Told(9, Told::Released(42)), vec![]),
                 2 * SECOND,
-                Peer::Owners,
+                Peer::Clients,
             ),
             (Rule::TwoAtOnce, planted(|n| *n == Note::Stopped(8, 2), vec![]), 1_150 * MS, Peer::Host(4)),
             (
@@ -999,7 +999,7 @@
                 Rule::EndUntold,
                 planted(|n| *n == Note::Told(8, Told::Released(41)), vec![]),
                 1_600 * MS,
-                Peer::Owners,
+                Peer::Clients,
             ),
             (
                 Rule::Drain,
--- a/crates/standin/src/owner.rs
+++ b/crates/standin/src/client.rs
@@ -1,11 +1,11 @@
-//! Owners.
+//! A client of the placer: asks for tasks on a connection, and reads what it is told of them.
 
 use crate::LIMIT;
 use std::io::{ErrorKind, Read, Write};
 use std::net::TcpStream;
 use std::time::Duration;
 
-/// A message to an owner.
+/// A message to a client.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Message {
     /// Its type.
@@ -55,14 +55,14 @@
     }
 }
 
-/// A connection of an owner.
-pub struct Owner(pub TcpStream);
+/// A connection of a client.
+pub struct Client(pub TcpStream);
 
-/// A set-up as an owner writes it.
+/// A set-up as a client writes it.
 pub struct Ask<'a> {
     /// Its class.
     pub class: &'a str,
-    /// How long the owner waits.
+    /// How long the client waits.
     pub wait_ms: u64,
     /// Its service.
     pub service: u64,
@@ -110,7 +110,7 @@
     )
 }
 
-impl Owner {
+impl Client {
     /// Sends bytes.
     pub fn say(&mut self, bytes: &[u8]) {
         self.0.write_all(bytes).expect("it reads");
--- a/crates/standin/src/front.rs
+++ b/crates/standin/src/front.rs
@@ -5,7 +5,7 @@
 //! what it was told, so that a test can check each task.
 
 use crate::balance::{Admin, Balancer, read_agent};
-use crate::{Ask, LIMIT, Owner};
+use crate::{Ask, Client, LIMIT};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -42,7 +42,7 @@
 }
 
 impl Front {
-    /// Polls each of these placers, listed by where owners connect and where the agent check answers.
+    /// Polls each of these placers, listed by where clients connect and where the agent check answers.
     pub fn start(placers: &[(SocketAddr, SocketAddr)], interval: Duration, limit: Duration) -> Front {
         let balancer = Arc::new(Mutex::new(Balancer::new(placers.len(), 2, 3)));
         let (polls, stop) = (Arc::new(Mutex::new(Vec::new())), Arc::new(AtomicBool::new(false)));
@@ -63,7 +63,7 @@
                 }
             });
         }
-        Front { balancer, polls, addresses: placers.iter().map(|(owners, _)| *owners).collect(), stop }
+        Front { balancer, polls, addresses: placers.iter().map(|(clients, _)| *clients).collect(), stop }
     }
 
     /// The server for the next client.
@@ -193,11 +193,11 @@
     let server = front.pick();
     let fresh = Record { id, class: class.into(), due, server, answer: None, more_answers: 0, end: None };
     records.lock().expect("records").push(fresh);
-    let Some(mut owner) = server.and_then(|n| Owner::connect(front.addresses[n])) else { return };
-    owner.set_up(id, &Ask { class, wait_ms: 6_000, service: id, at: None });
+    let Some(mut client) = server.and_then(|n| Client::connect(front.addresses[n])) else { return };
+    client.set_up(id, &Ask { class, wait_ms: 6_000, service: id, at: None });
     let give_up = due + LIMIT;
     while Instant::now() < give_up {
-        match owner.message_within(Duration::from_millis(20)) {
+        match client.message_within(Duration::from_millis(20)) {
             Ok(Some(message)) => {
                 let mut records = records.lock().expect("records");
                 let Some(record) = records.iter_mut().find(|r| r.id == message.id) else { continue };
@@ -207,7 +207,7 @@
                     (12, None) => record.answer = Some((now, message.cause())),
                     (12, Some((_, 9))) => {
                         record.end = Some(now);
-                        owner.heard(message.id);
+                        client.heard(message.id);
                     }
                     _ => record.more_answers += 1,
                 }
--- a/crates/standin/src/keeper.rs
+++ b/crates/standin/src/keeper.rs
@@ -77,7 +77,7 @@
         Ok(keeper)
     }
 
-    /// Where a placer listens for owners.
+    /// Where a placer listens for clients.
     pub fn listen(&self, n: usize) -> Option<SocketAddr> {
         self.placers.get(n).map(|p| p.listen)
     }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,4 +1,4 @@
-//! Scripted peers of the placer on loopback: the program under test, a control feed, hosts, owners and
+//! Scripted peers of the placer on loopback: the program under test, a control feed, hosts, clients and
 //! balancers. A peer does what its test says, one step at a time, and waits with a limit that only a
 //! failure reaches. What a peer can't do as told ends its test: these are not for use in a program.
 
@@ -6,6 +6,7 @@
 
 pub mod audit;
 pub mod balance;
+mod client;
 mod config;
 mod feed;
 pub mod front;
@@ -16,14 +17,13 @@
 pub mod machine;
 pub mod notes;
 pub mod operator;
-mod owner;
 mod program;
 pub mod site;
 
+pub use client::{Ask, Client, Message, ONCE, QUICK, bytes, set_up};
 pub use config::{config, deployment};
 pub use feed::{Feed, event};
 pub use host::{Host, HostConn, OutOfReach};
-pub use owner::{Ask, Message, ONCE, Owner, QUICK, bytes, set_up};
 pub use program::{Launch, Program, binary, refuses, scratch};
 
 use simd_json::json;
--- a/crates/standin/src/link.rs
+++ b/crates/standin/src/link.rs
@@ -36,8 +36,8 @@
 /// A party at an end of a link.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum End {
-    /// All owners.
-    Owners,
+    /// All clients.
+    Clients,
     /// A placer, by its place.
     Placer(usize),
     /// A host, by its place.
@@ -415,8 +415,8 @@
     #[test]
     fn a_reset_ends_what_is_open_and_what_comes() {
         let links = Links::start().expect("links");
-        let ends = (set(&[End::Owners]), set(&[End::Placer(1)]));
-        let address = links.relay(End::Owners, End::Placer(1), echo()).expect("a relay");
+        let ends = (set(&[End::Clients]), set(&[End::Placer(1)]));
+        let address = links.relay(End::Clients, End::Placer(1), echo()).expect("a relay");
         let mut open = TcpStream::connect(address).expect("it is there");
         assert!(said(&mut open, b"before", SOON).is_some());
         // Named the other way round, it is the same link.
--- a/crates/standin/src/live.rs
+++ b/crates/standin/src/live.rs
@@ -48,7 +48,7 @@
     pub refused: usize,
     /// Offers that came.
     pub offers: usize,
-    /// Tasks that were cut by a placer, or ended by their owner.
+    /// Tasks that were cut by a placer, or ended by their client.
     pub cut: usize,
 }
 
--- a/crates/standin/src/program.rs
+++ b/crates/standin/src/program.rs
@@ -1,6 +1,6 @@
 //! The program under test.
 
-use crate::{LIMIT, Owner, keeper, until};
+use crate::{Client, LIMIT, keeper, until};
 use simd_json::OwnedValue;
 use simd_json::prelude::*;
 use std::fs::File;
@@ -144,7 +144,7 @@
     config: PathBuf,
     files: Vec<PathBuf>,
     log: PathBuf,
-    /// Where it listens for owners.
+    /// Where it listens for clients.
     pub address: SocketAddr,
 }
 
@@ -160,8 +160,8 @@
     }
 
     /// A new connection, made as soon as it listens.
-    pub fn owner(&self) -> Owner {
-        until("it listens", || Owner::connect(self.address))
+    pub fn client(&self) -> Client {
+        until("it listens", || Client::connect(self.address))
     }
 
     /// Its number among the system's processes.
@@ -264,12 +264,12 @@
     (!out.status.success(), String::from_utf8(out.stderr).expect("text"))
 }
 
-impl Owner {
+impl Client {
     /// A connection, if something listens there.
-    pub fn connect(address: SocketAddr) -> Option<Owner> {
+    pub fn connect(address: SocketAddr) -> Option<Client> {
         let stream = TcpStream::connect(address).ok()?;
         stream.set_read_timeout(Some(LIMIT)).expect("a socket option");
         stream.set_nodelay(true).expect("a socket option");
-        Some(Owner(stream))
+        Some(Client(stream))
     }
 }
--- a/crates/standin/src/site.rs
+++ b/crates/standin/src/site.rs
@@ -1031,7 +1031,7 @@
     json!({ "host": name, "health": "removed" })
 }
 
-/// The description that owners of a rehearsal send: all that a host needs to know of the task.
+/// The description that clients of a rehearsal send: all that a host needs to know of the task.
 pub fn describe(offer: &Offer, key: u64) -> String {
     format!(
         "k={key:016x}\r\ns={:016x}\r\na={} {}\r\np={}\r\nl={}\r\n",
--- a/tests/balancers.rs
+++ b/tests/balancers.rs
@@ -52,7 +52,7 @@
         let pairs: Vec<(SocketAddr, SocketAddr)> =
             placers.iter().zip(&agents).map(|(placer, agent)| (placer.address, *agent)).collect();
         for (placer, agent) in placers.iter().zip(&agents) {
-            drop(placer.owner());
+            drop(placer.client());
             until("full weight", || weight(*agent).filter(|weight| *weight == 100));
         }
         let front = Arc::new(Front::start(&pairs, MS(500), MS(1_500)));
--- a/tests/cold.rs
+++ b/tests/cold.rs
@@ -207,11 +207,11 @@
                 feed.tell(&standin::event(2, false, vec![host.entry("up", born)]));
             }
         }
-        let mut owners: Vec<_> = programs.iter().map(Program::owner).collect();
-        for owner in &mut owners {
-            assert!(owner.test());
+        let mut clients: Vec<_> = programs.iter().map(Program::client).collect();
+        for client in &mut clients {
+            assert!(client.test());
             for n in 1..=20 {
-                owner.set_up(life * 100 + n, &Ask { service: n, ..QUICK });
+                client.set_up(life * 100 + n, &Ask { service: n, ..QUICK });
             }
         }
         collect(
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,4 +1,4 @@
-//! Helpers of the module tests: events in short form and a small owner's view of the answers.
+//! Helpers of the module tests: events in short form and a small client's view of the answers.
 #![allow(dead_code)]
 
 use anisehead::*;
--- a/tests/endings.rs
+++ b/tests/endings.rs
@@ -21,16 +21,16 @@
 }
 
 /// A connection that has been read before: what is said on it next is read at once.
-fn known(program: &Program) -> Owner {
-    let mut owner = program.owner();
-    assert!(owner.test());
-    owner
+fn known(program: &Program) -> Client {
+    let mut client = program.client();
+    assert!(client.test());
+    client
 }
 
 /// The ids offered to these hosts, on these connections and on those that are made, until the last request is.
 fn offered_until_last(program: &Program, hosts: &[Host], conns: &mut Vec<HostConn>) -> Vec<String> {
-    let mut owner = known(program);
-    owner.set_up(LAST, &ask(LAST));
+    let mut client = known(program);
+    client.set_up(LAST, &ask(LAST));
     let mut ids = Vec::new();
     let end = Instant::now() + LIMIT;
     loop {
@@ -60,10 +60,10 @@
 fn a_set_up_whose_client_has_closed_the_connection_is_not_offered() {
     let (program, _feed, hosts, mut conns) = start(1);
     for id in 1..=5 {
-        let mut owner = known(&program);
+        let mut client = known(&program);
         program.stopped(|| {
-            owner.set_up(id, &ask(id));
-            drop(owner);
+            client.set_up(id, &ask(id));
+            drop(client);
         });
     }
     assert_eq!(offered_until_last(&program, &hosts, &mut conns), NONE);
@@ -72,28 +72,28 @@
 #[test]
 fn a_set_up_that_is_cancelled_in_the_same_read_is_not_offered() {
     let (program, _feed, hosts, mut conns) = start(1);
-    let mut owner = known(&program);
+    let mut client = known(&program);
     program.stopped(|| {
         for id in 1..=5 {
-            owner.set_up(id, &ask(id));
-            owner.release(id, 16);
+            client.set_up(id, &ask(id));
+            client.release(id, 16);
         }
     });
     assert_eq!(offered_until_last(&program, &hosts, &mut conns), NONE);
-    assert!(owner.test(), "and its connection goes on");
+    assert!(client.test(), "and its connection goes on");
 }
 
 // Hundreds of set-ups, taken back at once: their cancels are several reads behind.
 #[test]
 fn set_ups_that_are_cancelled_some_reads_later_are_not_offered() {
     let (program, _feed, hosts, mut conns) = start(1);
-    let mut owner = known(&program);
+    let mut client = known(&program);
     program.stopped(|| {
-        (1..=300).for_each(|id| owner.set_up(id, &ask(id)));
-        (1..=300).for_each(|id| owner.release(id, 16));
+        (1..=300).for_each(|id| client.set_up(id, &ask(id)));
+        (1..=300).for_each(|id| client.release(id, 16));
     });
     assert_eq!(offered_until_last(&program, &hosts, &mut conns), NONE);
-    assert!(owner.test());
+    assert!(client.test());
 }
 
 // The host's refusal is heard before the client's close.
@@ -101,16 +101,16 @@
 fn no_further_attempt_begins_for_a_client_that_has_left() {
     for (kind, leaves) in [("close", true), ("cancel", false)] {
         let (program, _feed, hosts, mut conns) = start(2);
-        let mut owner = known(&program);
-        owner.set_up(1, &ask(1));
+        let mut client = known(&program);
+        client.set_up(1, &ask(1));
         let (at, id) = offered(&mut conns);
-        let mut held = Some(owner);
+        let mut held = Some(client);
         program.stopped(|| {
             conns[at].down(&id, 34, "nq");
             if leaves {
                 held = None;
             } else {
-                held.iter_mut().for_each(|owner| owner.release(1, 16));
+                held.iter_mut().for_each(|client| client.release(1, 16));
             }
         });
         assert_eq!(offered_until_last(&program, &hosts, &mut conns), NONE, "{kind}");
@@ -127,12 +127,12 @@
     let held: Vec<OutOfReach> = hosts.iter().map(Host::vanish).collect();
     let program = Program::start(&config);
     feed.subscribed();
-    let mut owner = known(&program);
-    owner.set_up(1, &ask(1));
-    assert!(owner.test(), "the set-up was taken in");
+    let mut client = known(&program);
+    client.set_up(1, &ask(1));
+    assert!(client.test(), "the set-up was taken in");
     program.stopped(|| {
         hosts.iter().zip(held).for_each(|(host, held)| host.come_back(held));
-        drop(owner);
+        drop(client);
         std::thread::sleep(Duration::from_millis(300));
     });
     program.logged("connection ended peer=\"client\"");
@@ -149,15 +149,15 @@
     feed.subscribed();
     let mut conns = vec![host.accept()];
     // All that may be held are busy, so that the next connection waits.
-    let mut busy: Vec<Owner> = Vec::new();
+    let mut busy: Vec<Client> = Vec::new();
     while !program.log().contains("connection waits") {
         let id = busy.len() as u64 + 1;
-        let mut owner = program.owner();
-        owner.set_up(id, &ask(id));
-        busy.push(owner);
+        let mut client = program.client();
+        client.set_up(id, &ask(id));
+        busy.push(client);
         std::thread::sleep(Duration::from_millis(10));
     }
-    let mut late = program.owner();
+    let mut late = program.client();
     late.set_up(0x99, &ask(0x99));
     drop(late);
     busy.clear();
@@ -176,21 +176,21 @@
     let program = Program::start(&config);
     feed.subscribed();
     let mut conns = vec![hosts[0].accept()];
-    let mut owner = known(&program);
+    let mut client = known(&program);
     let wide = "w".repeat(15_000);
     // The host reads nothing, until more is queued for it than the system takes.
     for id in 1..=30 {
-        owner.set_up_with(id, &ask(id), &wide);
-        assert!(owner.test());
-        owner.release(id, 16);
+        client.set_up_with(id, &ask(id), &wide);
+        assert!(client.test());
+        client.release(id, 16);
     }
     // One closes its connection and one cancels.
     let mut closes = known(&program);
     closes.set_up(0x990, &ask(0x990));
-    owner.set_up(0x991, &ask(0x991));
-    assert!(closes.test() && owner.test(), "the set-ups were taken in");
+    client.set_up(0x991, &ask(0x991));
+    assert!(closes.test() && client.test(), "the set-ups were taken in");
     drop(closes);
-    owner.release(0x991, 16);
+    client.release(0x991, 16);
     program.logged("reason=closed");
     let offered = offered_until_last(&program, &hosts, &mut conns);
     assert!(offered.contains(&hex(1)), "{offered:?}");
@@ -206,21 +206,21 @@
     let program = Program::start(&config(&feed, known_hosts));
     feed.subscribed();
     let _reads_nothing = hosts[0].accept();
-    let mut owner = known(&program);
+    let mut client = known(&program);
     let wide = "w".repeat(15_000);
     for id in 1..=30 {
-        owner.set_up_with(id, &ask(id), &wide);
-        assert!(owner.test());
-        owner.release(id, 16);
+        client.set_up_with(id, &ask(id), &wide);
+        assert!(client.test());
+        client.release(id, 16);
     }
-    owner.set_up(0x990, &ask(0x990));
+    client.set_up(0x990, &ask(0x990));
     feed.event(2, &hosts[1], "up");
     let start = Instant::now();
     let mut conn = hosts[1].accept();
     assert_eq!(conn.offer(), hex(0x990));
     assert!(start.elapsed() < Duration::from_secs(1), "{:?}", start.elapsed());
     conn.up(&hex(0x990));
-    assert_eq!(until("the answer", || Some(owner.read()).filter(|word| word.kind == 9)).id, 0x990);
+    assert_eq!(until("the answer", || Some(client.read()).filter(|word| word.kind == 9)).id, 0x990);
 }
 
 #[test]
@@ -234,12 +234,12 @@
     let program = Program::start(&config);
     feed.subscribed();
     for leaves in [true, false] {
-        let mut owner = known(&program);
-        owner.set_up(1 + u64::from(leaves), &ask(1));
-        assert!(owner.test());
+        let mut client = known(&program);
+        client.set_up(1 + u64::from(leaves), &ask(1));
+        assert!(client.test());
         if !leaves {
-            owner.release(1, 16);
-            assert!(owner.test());
+            client.release(1, 16);
+            assert!(client.test());
         }
     }
     host.come_back(held);
@@ -250,8 +250,8 @@
 #[test]
 fn a_client_that_never_pauses_gets_its_attempt() {
     let (program, _feed, _hosts, mut conns) = start(1);
-    let mut owner = known(&program);
-    let mut talks = Owner(owner.0.try_clone().expect("a socket"));
+    let mut client = known(&program);
+    let mut talks = Client(client.0.try_clone().expect("a socket"));
     let flood: Vec<u8> = (0..1_000).flat_map(|_| bytes(16, 77, &[])).collect();
     let over = Arc::new(AtomicBool::new(false));
     let told = over.clone();
@@ -270,7 +270,7 @@
     ids.sort();
     assert_eq!(ids, (1..=5).map(hex).collect::<Vec<_>>());
     ids.iter().for_each(|id| conns[0].up(id));
-    (1..=5).for_each(|_| assert_eq!(owner.read().kind, 9));
+    (1..=5).for_each(|_| assert_eq!(client.read().kind, 9));
 }
 
 // ---- Hosts ----
@@ -288,9 +288,9 @@
         let held = host.vanish();
         let program = Program::start(&config);
         feed.subscribed();
-        let mut owner = known(&program);
-        owner.set_up(1, &ask(1));
-        assert!(owner.test(), "the offer waits");
+        let mut client = known(&program);
+        client.set_up(1, &ask(1));
+        assert!(client.test(), "the offer waits");
         let mut entry = host.entry("up", 0);
         match change {
             "draining" => feed.event(2, &host, "draining"),
@@ -307,10 +307,10 @@
             }
         }
         feed.tell(&json!({ "n": 2 }));
-        assert!(owner.test());
+        assert!(client.test());
         // Nor what is offered to it from now on, where it has another address.
-        owner.set_up(2, &ask(2));
-        assert!(owner.test());
+        client.set_up(2, &ask(2));
+        assert!(client.test());
         host.come_back(held);
         if let Some(mut conn) = host.accept_within(Duration::from_millis(1_500)) {
             assert!(conn.read_within(QUIET).is_none(), "{change}");
@@ -322,15 +322,15 @@
 #[test]
 fn an_offer_is_not_written_to_a_connection_that_its_host_has_closed() {
     let (program, _feed, hosts, mut conns) = start(1);
-    let mut owner = known(&program);
+    let mut client = known(&program);
     program.stopped(|| {
-        owner.set_up(1, &ONCE);
+        client.set_up(1, &ONCE);
         conns.clear();
     });
     let mut conn = hosts[0].accept();
     assert_eq!(conn.offer(), hex(1));
     conn.up(&hex(1));
-    assert_eq!(owner.read().kind, 9);
+    assert_eq!(client.read().kind, 9);
 }
 
 // Words of a host that come in one read, in every order that could be taken for something else.
@@ -350,8 +350,8 @@
     ];
     for (what, said, words, again) in cases {
         let (program, _feed, _hosts, mut conns) = start(2);
-        let mut owner = known(&program);
-        owner.set_up(1, &ask(1));
+        let mut client = known(&program);
+        client.set_up(1, &ask(1));
         let (at, offer) = offered(&mut conns);
         assert_eq!(offer, id);
         // It has closed the connection, too, before a word of it is read.
@@ -363,13 +363,13 @@
         if again {
             assert_eq!(conns[0].offer(), id, "{what}");
             conns[0].up(&id);
-            assert_eq!(owner.read().kind, 9, "{what}");
+            assert_eq!(client.read().kind, 9, "{what}");
         }
         for (kind, cause) in words {
-            let word = owner.read();
+            let word = client.read();
             assert_eq!((word.kind, if word.kind == 12 { word.cause() } else { 0 }), (kind, cause), "{what}");
         }
-        assert!(owner.test(), "nothing else was said: {what}");
+        assert!(client.test(), "nothing else was said: {what}");
     }
 }
 
@@ -377,15 +377,15 @@
 #[test]
 fn an_answer_and_the_time_out_in_one_turn_give_one_final_answer() {
     let (program, _feed, _hosts, mut conns) = start(1);
-    let mut owner = known(&program);
-    owner.set_up(1, &Ask { wait_ms: 300, ..ask(1) });
+    let mut client = known(&program);
+    client.set_up(1, &Ask { wait_ms: 300, ..ask(1) });
     let id = conns[0].offer();
     program.stopped(|| {
         conns[0].up(&id);
         std::thread::sleep(Duration::from_millis(350));
     });
-    let answer = owner.read();
-    assert!(owner.test(), "one answer");
+    let answer = client.read();
+    assert!(client.test(), "one answer");
     // What was answered as failed does not stand on.
     if answer.kind == 12 {
         assert_eq!(conns[0].expect("down").get_str("ref"), Some(id.as_str()));
@@ -397,10 +397,10 @@
 #[test]
 fn a_whole_list_that_no_longer_names_a_host_ends_what_is_out_there() {
     let (program, mut feed, hosts, mut conns) = start(2);
-    let mut owner = known(&program);
-    owner.set_up(1, &ask(1));
+    let mut client = known(&program);
+    client.set_up(1, &ask(1));
     let (at, id) = offered(&mut conns);
-    owner.set_up(2, &Ask { service: 102, ..ONCE });
+    client.set_up(2, &Ask { service: 102, ..ONCE });
     let (other, once) = offered(&mut conns);
     // Twice, and the second tells nothing new.
     let rest: Vec<_> = (0..2).filter(|n| *n != at).map(|n| hosts[n].entry("up", 0)).collect();
@@ -415,14 +415,14 @@
     conns[left].up(&id);
     if other == at {
         // It may have run there.
-        let words = [owner.read(), owner.read()].map(|word| (word.id, word.kind));
+        let words = [client.read(), client.read()].map(|word| (word.id, word.kind));
         assert!(words.contains(&(1, 9)) && words.contains(&(2, 12)), "{words:?}");
     } else {
-        assert_eq!(owner.read().kind, 9);
+        assert_eq!(client.read().kind, 9);
         conns[left].up(&once);
-        assert_eq!(owner.read().kind, 9);
+        assert_eq!(client.read().kind, 9);
     }
-    assert!(owner.test());
+    assert!(client.test());
 }
 
 // ---- The subscription ----
@@ -460,9 +460,9 @@
     assert!(moved.elapsed() < Duration::from_millis(500), "{:?}", moved.elapsed());
     second.event(2, &hosts[0], "draining");
     second.tell(&json!({ "n": 2 }));
-    let mut owner = known(&program);
-    owner.set_up(1, &Ask { wait_ms: 300, ..ask(1) });
-    assert_eq!(owner.read().kind, 12);
+    let mut client = known(&program);
+    client.set_up(1, &Ask { wait_ms: 300, ..ask(1) });
+    assert_eq!(client.read().kind, 12);
     assert!(conns[0].read_within(Duration::from_millis(20)).is_none());
     drop(held);
 }
@@ -482,11 +482,11 @@
     drop(feed.stream_taken());
     // Discovery is away, and each that has said something once stays.
     drop(feed);
-    let mut idle: Vec<Owner> = Vec::new();
+    let mut idle: Vec<Client> = Vec::new();
     for _ in 0..sockets {
-        let mut owner = program.owner();
-        if owner.test() {
-            idle.push(owner);
+        let mut client = program.client();
+        if client.test() {
+            idle.push(client);
         }
     }
     assert!(program.descriptors() < sockets as usize, "{}", program.descriptors());
@@ -499,11 +499,11 @@
     let mut conns: Vec<HostConn> = hosts.iter().map(Host::accept).collect();
     assert!(program.descriptors() < sockets as usize, "{}", program.descriptors());
     assert!(!program.log().contains("no-descriptor"), "{}", program.log());
-    let mut owner = known(&program);
-    owner.set_up(1, &ask(1));
+    let mut client = known(&program);
+    client.set_up(1, &ask(1));
     let (at, id) = offered(&mut conns);
     conns[at].up(&id);
-    assert_eq!(owner.read().kind, 9);
+    assert_eq!(client.read().kind, 9);
     assert!(conn.read_within(Duration::from_millis(20)).is_none());
 }
 
@@ -512,17 +512,17 @@
 #[test]
 fn a_set_up_that_is_half_read_when_the_process_is_to_end_is_answered() {
     let (mut program, _feed, _hosts, mut conns) = start(1);
-    let mut owner = known(&program);
+    let mut client = known(&program);
     let whole = set_up(1, &ask(1), "half");
     let (half, rest) = whole.split_at(whole.len() / 2);
-    owner.say(half);
+    client.say(half);
     assert!(known(&program).test());
     program.terminate();
     program.logged("closing");
-    owner.say(rest);
+    client.say(rest);
     assert_eq!(conns[0].offer(), hex(1));
     conns[0].up(&hex(1));
-    assert_eq!(owner.read().kind, 9);
+    assert_eq!(client.read().kind, 9);
     // Told a second time, and with a configuration that can't be read, it ends as it would have.
     program.terminate();
     program.reload("{");
@@ -534,15 +534,15 @@
 #[test]
 fn the_end_of_a_task_that_comes_while_the_process_ends_is_told() {
     let (mut program, _feed, _hosts, mut conns) = start(1);
-    let mut owner = known(&program);
-    owner.set_up(1, &ask(1));
+    let mut client = known(&program);
+    client.set_up(1, &ask(1));
     let id = conns[0].offer();
     conns[0].up(&id);
-    assert_eq!(owner.read().kind, 9);
+    assert_eq!(client.read().kind, 9);
     program.terminate();
     program.logged("closing");
     program.stopped(|| conns[0].down(&id, 16, ""));
-    let end = owner.read();
+    let end = client.read();
     assert_eq!((end.kind, end.id, end.cause()), (12, 1, 16));
     assert!(program.exit().success());
 }
@@ -567,12 +567,12 @@
     file.write_all(config.encode().as_bytes()).expect("it reads");
     drop(file);
     // Who connects meanwhile is answered.
-    let mut owner = program.owner();
-    owner.set_up(1, &ask(1));
+    let mut client = program.client();
+    client.set_up(1, &ask(1));
     let mut conn = host.accept();
     let id = conn.offer();
     conn.up(&id);
-    assert_eq!(owner.read().kind, 9);
+    assert_eq!(client.read().kind, 9);
     assert!(program.exit().success());
     let _ = std::fs::remove_file(&pipe);
 }
@@ -586,27 +586,27 @@
     let program = Program::start(&config);
     feed.subscribed();
     let _conn = host.accept();
-    let mut good: Vec<Owner> = (0..20).map(|_| known(&program)).collect();
-    let mut bad: Vec<Owner> = (0..20).map(|_| known(&program)).collect();
+    let mut good: Vec<Client> = (0..20).map(|_| known(&program)).collect();
+    let mut bad: Vec<Client> = (0..20).map(|_| known(&program)).collect();
     let wait = Duration::from_millis(900);
     let start = Instant::now();
     for n in 0..30 {
-        for (at, owner) in good.iter_mut().enumerate() {
+        for (at, client) in good.iter_mut().enumerate() {
             let id = 1 + at as u64 * 100 + n;
-            owner.set_up(id, &Ask { wait_ms: 900, ..ask(id) });
+            client.set_up(id, &Ask { wait_ms: 900, ..ask(id) });
         }
-        for owner in &mut bad {
-            let _ = owner.0.write_all(&[0xff; 600]);
+        for client in &mut bad {
+            let _ = client.0.write_all(&[0xff; 600]);
         }
     }
     let sent = start.elapsed();
-    for owner in &mut good {
-        let mut ids: Vec<u64> = (0..30).map(|_| owner.read().id).collect();
+    for client in &mut good {
+        let mut ids: Vec<u64> = (0..30).map(|_| client.read().id).collect();
         ids.sort_unstable();
         ids.dedup();
         assert_eq!(ids.len(), 30);
         assert!(start.elapsed() < sent + wait + Duration::from_millis(50), "{:?} {sent:?}", start.elapsed());
-        assert!(owner.test());
+        assert!(client.test());
     }
 }
 
@@ -622,12 +622,12 @@
     }
     let mut program = Program::start(&config);
     feed.subscribed();
-    let mut owner = known(&program);
+    let mut client = known(&program);
     let told = Instant::now();
     program.terminate();
     program.logged("closing");
-    owner.set_up(1, &Ask { wait_ms: 200, ..ask(1) });
-    assert_eq!((owner.read().kind, owner.next_message()), (12, None));
+    client.set_up(1, &Ask { wait_ms: 200, ..ask(1) });
+    assert_eq!((client.read().kind, client.next_message()), (12, None));
     assert!(program.exit().success());
     assert!(told.elapsed() < Duration::from_millis(900), "{:?}", told.elapsed());
 }
@@ -647,9 +647,9 @@
     program.signal("-HUP");
     write(file);
     // Once it listens it has read the file, and what it has to read again waits for a writer.
-    let mut owner = program.owner();
+    let mut client = program.client();
     write(open());
     program.logged("configuration read again");
-    assert!(owner.test() && program.runs());
+    assert!(client.test() && program.runs());
     let _ = std::fs::remove_file(&pipe);
 }
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -33,18 +33,18 @@
     }
 }
 
-// The descriptors set apart for hundreds of hosts left owners with four connections, and the others were
+// The descriptors set apart for hundreds of hosts left clients with four connections, and the others were
 // closed with their set-ups unread.
 #[test]
-fn owners_may_hold_their_third_of_the_descriptors_whatever_the_fleet() {
+fn clients_may_hold_their_third_of_the_descriptors_whatever_the_fleet() {
     let habits = Habits { start: Duration::from_millis(300), life: Duration::from_secs(60), room: 1_000 };
     let fleet = Fleet::start(40, 160, &habits);
-    let mut owners: Vec<Owner> = (0..53).map(|_| fleet.program.owner()).collect();
-    for (n, owner) in owners.iter_mut().enumerate() {
-        owner.set_up(n as u64 + 1, &Ask { service: n as u64, ..QUICK });
+    let mut clients: Vec<Client> = (0..53).map(|_| fleet.program.client()).collect();
+    for (n, client) in clients.iter_mut().enumerate() {
+        client.set_up(n as u64 + 1, &Ask { service: n as u64, ..QUICK });
     }
-    for owner in &mut owners {
-        assert_eq!(owner.read().kind, 9);
+    for client in &mut clients {
+        assert_eq!(client.read().kind, 9);
     }
     assert!(fleet.program.descriptors() < 160);
 }
@@ -55,36 +55,36 @@
     let habits = Habits { start: Duration::from_millis(300), life: Duration::from_secs(60), room: 1_000 };
     let fleet = Fleet::start(1, 40, &habits);
     let busy = |n: u64| {
-        let mut owner = fleet.program.owner();
-        owner.set_up(n + 1, &Ask { service: n, ..QUICK });
-        owner
+        let mut client = fleet.program.client();
+        client.set_up(n + 1, &Ask { service: n, ..QUICK });
+        client
     };
-    let mut owners: Vec<Owner> = (0..16).map(busy).collect();
-    for owner in &mut owners {
-        assert_eq!(owner.read().kind, 9);
+    let mut clients: Vec<Client> = (0..16).map(busy).collect();
+    for client in &mut clients {
+        assert_eq!(client.read().kind, 9);
     }
     fleet.program.logged("connection waits");
 }
 
-// Seven in ten placers that come back at once meet all owners at once. While the program is stopped the
+// Seven in ten placers that come back at once meet all clients at once. While the program is stopped the
 // connections wait in the system's queue, whose length is the program's to ask for.
 #[test]
 fn hundreds_that_come_at_once_are_all_taken_and_answered() {
     let habits = Habits { start: Duration::from_millis(20), life: Duration::from_secs(60), room: 1_000 };
     let fleet = Fleet::start(40, 1_024, &habits);
-    drop(fleet.program.owner());
+    drop(fleet.program.client());
     fleet.program.signal("-STOP");
     let comes = |n: u64| {
         let stream = TcpStream::connect_timeout(&fleet.program.address, Duration::from_millis(500));
-        let mut owner = Owner(stream.expect("it waits in the queue"));
-        owner.0.set_read_timeout(Some(LIMIT)).expect("a socket option");
-        owner.set_up(n + 1, &Ask { service: n, ..QUICK });
-        owner
+        let mut client = Client(stream.expect("it waits in the queue"));
+        client.0.set_read_timeout(Some(LIMIT)).expect("a socket option");
+        client.set_up(n + 1, &Ask { service: n, ..QUICK });
+        client
     };
-    let mut owners: Vec<Owner> = (0..400).map(comes).collect();
+    let mut clients: Vec<Client> = (0..400).map(comes).collect();
     fleet.program.signal("-CONT");
-    for owner in &mut owners {
-        assert_eq!(owner.read().kind, 9);
+    for client in &mut clients {
+        assert_eq!(client.read().kind, 9);
     }
 }
 
@@ -94,14 +94,14 @@
 fn at_the_end_nothing_is_left_in_the_accept_queue() {
     let habits = Habits { start: Duration::from_millis(1_100), life: Duration::from_secs(60), room: 1_000 };
     let mut fleet = Fleet::start(3, 36, &habits);
-    let mut waiting: Vec<Owner> = (0..12).map(|_| fleet.program.owner()).collect();
+    let mut waiting: Vec<Client> = (0..12).map(|_| fleet.program.client()).collect();
     // The first eight fill the budget, and their set-ups come together.
-    for (n, owner) in waiting.iter_mut().enumerate() {
-        owner.set_up(n as u64 + 1, &Ask { service: n as u64, ..QUICK });
+    for (n, client) in waiting.iter_mut().enumerate() {
+        client.set_up(n as u64 + 1, &Ask { service: n as u64, ..QUICK });
     }
     fleet.program.terminate();
-    for owner in &mut waiting {
-        assert_eq!(owner.read().kind, 9);
+    for client in &mut waiting {
+        assert_eq!(client.read().kind, 9);
     }
     assert!(fleet.program.exit().success());
 }
@@ -111,17 +111,17 @@
 fn at_the_end_connections_are_closed_and_not_reset() {
     let habits = Habits { start: Duration::from_millis(20), life: Duration::from_secs(60), room: 1_000 };
     let mut fleet = Fleet::start(1, 256, &habits);
-    let mut owners: Vec<Owner> = (0..20).map(|_| fleet.program.owner()).collect();
-    assert!(owners.iter_mut().all(Owner::test));
+    let mut clients: Vec<Client> = (0..20).map(|_| fleet.program.client()).collect();
+    assert!(clients.iter_mut().all(Client::test));
     let flood: Vec<u8> = (0..2_000).flat_map(|_| bytes(16, 77, &[])).collect();
-    owners.iter().for_each(|owner| owner.0.set_nonblocking(true).expect("a socket option"));
+    clients.iter().for_each(|client| client.0.set_nonblocking(true).expect("a socket option"));
     fleet.program.terminate();
-    while !owners.is_empty() {
-        owners.retain_mut(|owner| {
-            if let Err(e) = owner.0.write(&flood) {
+    while !clients.is_empty() {
+        clients.retain_mut(|client| {
+            if let Err(e) = client.0.write(&flood) {
                 assert_eq!(e.kind(), ErrorKind::WouldBlock);
             }
-            let ended = match owner.0.peek(&mut [0]) {
+            let ended = match client.0.peek(&mut [0]) {
                 Ok(count) => count == 0,
                 Err(e) => {
                     assert_eq!(e.kind(), ErrorKind::WouldBlock);
@@ -144,14 +144,14 @@
     config["settings"]["prices"] = json!({ "fleet": 0.15, "moves": 0.07, "handshake": 0.05 });
     let program = Program::start(&config);
     feed.subscribed();
-    let mut owner = program.owner();
-    assert!(owner.test());
+    let mut client = program.client();
+    assert!(client.test());
     assert!(hosts.iter().all(|host| host.accept_within(QUIET / 2).is_none()));
-    owner.set_up(1, &QUICK);
+    client.set_up(1, &QUICK);
     let mut conn = until("a call", || hosts.iter().find_map(|host| host.accept_within(QUIET / 20)));
     assert_eq!(conn.offer(), hex(1));
     conn.up(&hex(1));
-    assert_eq!(owner.read().kind, 9);
+    assert_eq!(client.read().kind, 9);
     assert!(hosts.iter().all(|host| host.accept_within(QUIET / 2).is_none()));
 }
 
@@ -176,13 +176,13 @@
     config["settings"]["prices"] = json!({ "handshake": 0.05 });
     config["limits"] = json!({ "cores": 1.0, "memory_mb": 48, "sockets": 256 });
     let program = Program::start_with(&config, 256);
-    let mut owner = program.owner();
-    assert!(owner.test());
+    let mut client = program.client();
+    assert!(client.test());
     // Only the last host has room.
-    owner.set_up(1, &QUICK);
+    client.set_up(1, &QUICK);
     let mut conn = real.accept();
     assert_eq!(conn.offer(), hex(1));
     conn.up(&hex(1));
-    assert_eq!(owner.read().kind, 9);
+    assert_eq!(client.read().kind, 9);
     program.logged("entry set aside host=\"odd\" reason=bad-field:dial");
 }
--- a/tests/fronts.rs
+++ b/tests/fronts.rs
@@ -4,7 +4,7 @@
 use standin::front::ask_agent;
 use standin::live::{Books, Habits, LiveFeed, LiveHost};
 use standin::{
-    Feed, Host, HostConn, Launch, Owner, Program, QUICK, binary, config, free_address, hex, scratch, until,
+    Client, Feed, Host, HostConn, Launch, Program, QUICK, binary, config, free_address, hex, scratch, until,
 };
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -79,8 +79,8 @@
     assert!(get(fronts.http, "/startupz").starts_with("HTTP/1.1 200"));
     let health = get(fronts.http, "/health");
     assert!(health.contains("\"status\":\"pass\"") && health.contains("application/health+json"), "{health}");
-    let mut owner = fronts.program.owner();
-    assert!(owner.test());
+    let mut client = fronts.program.client();
+    assert!(client.test());
     let (done, said) = ctl(&fronts.socket, &["drain"]);
     assert!(done && said.starts_with("drain"), "{said}");
     assert_eq!(agent(fronts.agent), "up drain # finishing what was taken\n");
@@ -90,15 +90,15 @@
         get(fronts.http, "/livez").starts_with("HTTP/1.1 200"),
         "it lives, and must not be killed for draining"
     );
-    assert!(!owner.test(), "nor do owners' tests pass");
+    assert!(!client.test(), "nor do clients' tests pass");
     // New work that still comes is placed.
-    owner.set_up(1, &QUICK);
+    client.set_up(1, &QUICK);
     assert_eq!(fronts.conns[0].offer(), hex(1));
     fronts.conns[0].up(&hex(1));
-    assert_eq!(owner.read().kind, 9);
+    assert_eq!(client.read().kind, 9);
     assert!(ctl(&fronts.socket, &["ready"]).0);
     assert!(agent(fronts.agent).starts_with("up ready "), "taken back by name");
-    assert!(owner.test());
+    assert!(client.test());
     assert!(ctl(&fronts.socket, &["maint"]).0);
     assert_eq!(agent(fronts.agent), "maint # by order\n");
     assert!(ctl(&fronts.socket, &["ready"]).0);
@@ -169,7 +169,7 @@
 }
 
 #[test]
-fn pollers_that_say_nothing_take_no_descriptor_from_owners_and_delay_no_placing() {
+fn pollers_that_say_nothing_take_no_descriptor_from_clients_and_delay_no_placing() {
     let mut fronts = start("");
     let before = fronts.program.descriptors();
     let silent: Vec<TcpStream> = (0..500)
@@ -179,12 +179,12 @@
     assert!(agent(fronts.agent).starts_with("up "));
     let held = fronts.program.descriptors();
     assert!(held <= before + 40, "{before} to {held}");
-    let mut owner = fronts.program.owner();
+    let mut client = fronts.program.client();
     let begun = Instant::now();
-    owner.set_up(1, &QUICK);
+    client.set_up(1, &QUICK);
     assert_eq!(fronts.conns[0].offer(), hex(1));
     fronts.conns[0].up(&hex(1));
-    assert_eq!(owner.read().kind, 9);
+    assert_eq!(client.read().kind, 9);
     assert!(begun.elapsed() < SECOND, "{:?}", begun.elapsed());
     fronts.program.logged("reason=shed");
     drop(silent);
@@ -253,7 +253,7 @@
     let feed = Feed::new();
     let operator = format!("[ctl]\nsocket = \"{}\"\n", socket.display());
     let mut program = Launch::new(&config(&feed, vec![])).operator(&operator).start();
-    drop(program.owner());
+    drop(program.client());
     let mode = std::fs::metadata(&socket).expect("a socket").permissions().mode();
     assert_eq!(mode & 0o777, 0o600);
     // A second placer does not take it away.
@@ -288,14 +288,14 @@
 fn a_second_signal_ends_a_drain_as_sigterm_does_without_one() {
     let mut fronts = start("notice = \"60s\"\nsettle = \"1s\"");
     until("polled", || agent(fronts.agent).starts_with("up ready 100%").then_some(()));
-    let mut owner = fronts.program.owner();
-    owner.set_up(1, &QUICK);
+    let mut client = fronts.program.client();
+    client.set_up(1, &QUICK);
     let id = fronts.conns[0].offer();
     fronts.program.terminate();
     until("draining", || agent(fronts.agent).starts_with("up drain").then_some(()));
     fronts.program.terminate();
     // The host never answers: the module gives the ask up in time for the end.
-    let answer = owner.read();
+    let answer = client.read();
     assert_eq!((answer.kind, answer.id, answer.cause()), (12, 1, 42));
     assert_eq!(fronts.conns[0].expect("down").get_str("ref"), Some(id.as_str()));
     assert_eq!(fronts.program.exit_within(8 * SECOND).code(), Some(0));
@@ -313,11 +313,11 @@
     // Well beyond where a drain with nobody polling would have ended.
     std::thread::sleep(3 * SECOND);
     assert!(fronts.program.runs());
-    let mut owner = fronts.program.owner();
-    owner.set_up(1, &QUICK);
+    let mut client = fronts.program.client();
+    client.set_up(1, &QUICK);
     assert_eq!(fronts.conns[0].offer(), hex(1));
     fronts.conns[0].up(&hex(1));
-    assert_eq!(owner.read().kind, 9);
+    assert_eq!(client.read().kind, 9);
 }
 
 #[test]
@@ -335,10 +335,10 @@
 fn connections_without_a_task_are_closed_and_standing_tasks_are_left_by_name_at_their_bound() {
     let mut fronts = start("settle = \"100ms\"\nquiet = \"300ms\"\nstanding = \"2s\"");
     let (mut idle, mut busy, mut standing) =
-        (fronts.program.owner(), fronts.program.owner(), fronts.program.owner());
+        (fronts.program.client(), fronts.program.client(), fronts.program.client());
     assert!(idle.test());
-    for (owner, id) in [(&mut standing, 1), (&mut busy, 2)] {
-        owner.set_up(id, &QUICK);
+    for (client, id) in [(&mut standing, 1), (&mut busy, 2)] {
+        client.set_up(id, &QUICK);
         assert_eq!(fronts.conns[0].offer(), hex(id));
     }
     fronts.conns[0].up(&hex(1));
@@ -350,7 +350,7 @@
     assert_eq!(busy.read().kind, 9);
     // Two that came later are closed before it: sweeps have passed that left it.
     for _ in 0..2 {
-        let mut later = fronts.program.owner();
+        let mut later = fronts.program.client();
         assert!(!later.test(), "a placer that drains passes no test");
         assert_eq!(later.next_message(), None);
     }
@@ -368,9 +368,9 @@
 }
 
 #[test]
-fn an_owner_that_never_reads_holds_no_drain_up() {
+fn a_client_that_never_reads_holds_no_drain_up() {
     let mut fronts = start("settle = \"100ms\"\nquiet = \"300ms\"\nstanding = \"3s\"");
-    let mut deaf = fronts.program.owner();
+    let mut deaf = fronts.program.client();
     // Answers to tests fill its connection until nothing more goes.
     let test = standin::bytes(52, 0xfe, &[(171, &[0])]);
     deaf.0.set_nonblocking(true).expect("a socket option");
@@ -389,9 +389,9 @@
 /// Makes connections that each leave a line.
 fn chatter(program: &Program, lines: usize) {
     for _ in 0..lines {
-        let mut owner = Owner::connect(program.address).expect("it listens");
-        owner.say(&[0, 1, 0]);
-        let _ = owner.next_message();
+        let mut client = Client::connect(program.address).expect("it listens");
+        client.say(&[0, 1, 0]);
+        let _ = client.next_message();
     }
 }
 
@@ -412,13 +412,13 @@
         };
         let mut program =
             Launch::new(&config).operator("[log]\nqueue-bytes = 4096\n").log_to(Stdio::from(writer)).start();
-        drop(program.owner());
+        drop(program.client());
         // More than the pipe and the queue hold.
         chatter(&program, 1_500);
-        let mut owner = program.owner();
-        owner.set_up(1, &QUICK);
-        assert_eq!(owner.read().kind, 9);
-        assert!(owner.test());
+        let mut client = program.client();
+        client.set_up(1, &QUICK);
+        assert_eq!(client.read().kind, 9);
+        assert!(client.test());
         if let Some(mut reader) = reader {
             // Once it is read again, what was dropped is told.
             let told = std::thread::spawn(move || {
@@ -458,6 +458,6 @@
 }
 
 fn program_ready(program: &Program) -> &Program {
-    drop(program.owner());
+    drop(program.client());
     program
 }
--- a/tests/operating.rs
+++ b/tests/operating.rs
@@ -83,7 +83,7 @@
 }
 
 #[test]
-fn an_address_for_calls_where_owners_connect_is_named() {
+fn an_address_for_calls_where_clients_connect_is_named() {
     let feed = Feed::new();
     let mut config = config(&feed, Vec::new());
     let listen = config.get_str("listen").expect("an address").to_string();
@@ -95,19 +95,19 @@
 // ---- Figures ----
 
 #[test]
-fn figures_tell_what_owners_were_told_and_what_is_in_hand() {
+fn figures_tell_what_clients_were_told_and_what_is_in_hand() {
     let (program, calls, mut feed, hosts, mut conns) = start_with_calls(2);
-    let mut owner = program.owner();
+    let mut client = program.client();
     // Served at the second host; refused by both; failed without a host.
-    owner.set_up(1, &QUICK);
+    client.set_up(1, &QUICK);
     let (first, id) = offered(&mut conns);
     conns[first].down(&id, 34, "nc");
     let (second, _) = offered(&mut conns);
     conns[second].up(&id);
-    assert_eq!(owner.read().kind, 9);
-    owner.set_up(4, &ONCE);
+    assert_eq!(client.read().kind, 9);
+    client.set_up(4, &ONCE);
     let (at, id) = offered(&mut conns);
-    owner.set_up(2, &Ask { wait_ms: 600, ..ONCE });
+    client.set_up(2, &Ask { wait_ms: 600, ..ONCE });
     let mut attempts = 0;
     let refusal = loop {
         for conn in &mut conns {
@@ -116,13 +116,13 @@
                 attempts += 1;
             }
         }
-        if let Ok(message) = owner.message_within(Duration::from_millis(10)) {
+        if let Ok(message) = client.message_within(Duration::from_millis(10)) {
             break message.expect("an answer");
         }
     };
     assert!(attempts > 0 && refusal.cause() == 42, "{attempts}: {refusal:?}");
-    owner.set_up(3, &Ask { wait_ms: 1_000_000, ..ONCE });
-    assert_eq!(owner.read().cause(), 47);
+    client.set_up(3, &Ask { wait_ms: 1_000_000, ..ONCE });
+    assert_eq!(client.read().cause(), 47);
     let figures = calls.figures();
     let whole = |name: &str| figures.get_u64(name).unwrap_or_else(|| panic!("{name}: {figures}"));
     assert_eq!((whole("in_flight"), whole("hosts_known"), whole("hosts_excluded")), (2, 2, 0));
@@ -131,7 +131,7 @@
     assert_eq!((counts("quick"), counts("once")), ([1, 0, 0, 2], [0, 1, 1, attempts + 1]));
     assert_eq!(whole("attempts"), attempts + 3);
     conns[at].up(&id);
-    assert_eq!(owner.read().kind, 9);
+    assert_eq!(client.read().kind, 9);
     // A host that drains is known, and avoided.
     feed.event(2, &hosts[0], "draining");
     until("it avoids one", || (calls.figures().get_u64("hosts_excluded") == Some(1)).then_some(()));
@@ -146,7 +146,7 @@
 fn a_drain_empties_connections_without_turning_anything_away_and_is_taken_back() {
     let (program, calls, _feed, _hosts, mut conns) = start_with_calls(1);
     let (mut idle, mut stood, mut busy, mut half) =
-        (program.owner(), program.owner(), program.owner(), program.owner());
+        (program.client(), program.client(), program.client(), program.client());
     assert!(idle.test() && busy.test() && half.test());
     stood.set_up(1, &QUICK);
     let standing = conns[0].offer();
@@ -157,12 +157,12 @@
     let whole = bytes(52, 9, &[(171, &[0])]);
     half.say(&whole[..5]);
     // Its first message, which is half said for longer than a connection counts as new.
-    let mut fresh = program.owner();
+    let mut fresh = program.client();
     fresh.say(&whole[..5]);
     assert!(calls.call("drain-on").starts_with("ok"));
     assert!(!calls.check(), "from its first moment on");
     // A connection that is new to it still gets its answer: the front may not have heard.
-    let mut late = program.owner();
+    let mut late = program.client();
     assert!(!late.test());
     late.set_up(3, &QUICK);
     let crossed = conns[0].offer();
@@ -184,25 +184,25 @@
     conns[0].down(&standing, 16, "");
     assert_eq!((stood.read().id, stood.next_message()), (1, None));
     assert!(calls.call("drain-off").starts_with("ok") && calls.check());
-    let mut back = program.owner();
+    let mut back = program.client();
     assert!(back.test() && back.test(), "it stays open");
 }
 
 #[test]
-fn the_end_of_a_task_is_told_to_the_next_owner_and_to_no_front() {
+fn the_end_of_a_task_is_told_to_the_next_client_and_to_no_front() {
     let (program, _feed, _hosts, mut conns) = start(1);
-    let mut owner = program.owner();
-    owner.set_up(1, &QUICK);
+    let mut client = program.client();
+    client.set_up(1, &QUICK);
     let id = conns[0].offer();
     conns[0].up(&id);
-    assert_eq!(owner.read().kind, 9);
-    drop(owner);
+    assert_eq!(client.read().kind, 9);
+    drop(client);
     program.logged("peer=\"client\"");
     conns[0].down(&id, 16, "");
     conns[0].expect("ack");
-    let mut front = program.owner();
+    let mut front = program.client();
     assert!(front.test() && front.test(), "nothing but results comes on it");
-    let mut next = program.owner();
+    let mut next = program.client();
     next.set_up(2, &QUICK);
     let end = next.read();
     assert_eq!((end.kind, end.id, end.cause()), (12, 1, 16));
@@ -245,7 +245,7 @@
     assert_eq!(feed.subscribed(), 1);
     feed.tell(&json!({ "n": 1 }));
     let mut conn = hosts[0].accept();
-    let (mut stood, mut busy, mut idle) = (old.owner(), old.owner(), old.owner());
+    let (mut stood, mut busy, mut idle) = (old.client(), old.client(), old.client());
     stood.set_up(1, &QUICK);
     let standing = conn.offer();
     conn.up(&standing);
@@ -268,7 +268,7 @@
     }
     // Whoever comes now is the new one's.
     let mut next_conn = hosts[0].accept();
-    let mut late = new.owner();
+    let mut late = new.client();
     late.set_up(3, &Ask { service: 8, ..QUICK });
     let id = next_conn.offer();
     next_conn.up(&id);
@@ -319,9 +319,9 @@
         told
     });
     let mut conns = [host.accept(), host.accept()];
-    let mut owner = first.owner();
+    let mut client = first.client();
     for id in 1..6 {
-        owner.set_up(id, &Ask { service: id, ..QUICK });
+        client.set_up(id, &Ask { service: id, ..QUICK });
     }
     let mut offers = 0;
     while conns.iter_mut().any(|conn| conn.read_within(QUIET / 2).is_some()) {
--- a/tests/overload/main.rs
+++ b/tests/overload/main.rs
@@ -119,9 +119,9 @@
 }
 
 #[test]
-fn g_owners_who_do_not_wait_as_told_do_not_crowd_out_those_who_do() {
+fn g_clients_who_do_not_wait_as_told_do_not_crowd_out_those_who_do() {
     // Half of them; without the line and the order it is all one.
-    shown("g owners", &Parts { returns: true, ..Parts::default() }, |_, out| {
+    shown("g clients", &Parts { returns: true, ..Parts::default() }, |_, out| {
         out.whole() > 0.55 && out.in_aim(12, 16) > 0.95
     });
 }
@@ -190,7 +190,7 @@
         late: 10 * SECOND,
         ..day(n, parts)
     }),
-    ("g owners", |n, parts| Day {
+    ("g clients", |n, parts| Day {
         load: vec![(0, 0.2), (2 * SECOND, 1.8), (8 * SECOND, 0.2)],
         honour: 0.5,
         ..day(n, parts)
--- a/tests/overload/model.rs
+++ b/tests/overload/model.rs
@@ -1,4 +1,4 @@
-//! A fleet in simulated time: real facades with the real module and engine, machines of the stand-ins, owners
+//! A fleet in simulated time: real facades with the real module and engine, machines of the stand-ins, clients
 //! and a late list, joined by one queue of events. No socket, no clock, no thread; the same seed gives the
 //! same run. What a day of it shows is compared, never asserted to the digit.
 
@@ -18,7 +18,7 @@
 /// One way between any two.
 const NET: Micros = 500;
 const TICK: Micros = 4 * MS;
-/// How long an owner waits for an answer, and how long its task is wanted at all.
+/// How long a client waits for an answer, and how long its task is wanted at all.
 const LIMIT: Micros = 2 * SECOND;
 const WANTED: Micros = 8 * SECOND;
 /// The time of the first event: wall clocks are not near 0.
@@ -37,7 +37,7 @@
     /// Tasks a second from a time on, as multiples of what the hosts can start.
     pub load: Vec<(Micros, f64)>,
     pub length: Micros,
-    /// The part of owners that stay away as told.
+    /// The part of clients that stay away as told.
     pub honour: f64,
     /// The part of all tasks that go to placer 0.
     pub uneven: f64,
@@ -431,7 +431,7 @@
         }
     }
 
-    // ---- Owners ----
+    // ---- Clients ----
 
     fn due(&mut self) {
         let after = self.now - START;
@@ -459,7 +459,7 @@
         self.ask(self.tasks.len() - 1);
     }
 
-    /// Owners find any placer that is not dead; one that is stalled takes no notice.
+    /// Clients find any placer that is not dead; one that is stalled takes no notice.
     fn ask(&mut self, task: usize) {
         let alive: Vec<usize> =
             (0..self.placers.len()).filter(|n| self.placers[*n].facade.is_some()).collect();
--- a/tests/placer.rs
+++ b/tests/placer.rs
@@ -11,8 +11,8 @@
 #[test]
 fn an_offer_goes_on_unchanged_and_its_answer_comes_back_unchanged() {
     let (program, _feed, _hosts, mut conns) = start(1);
-    let mut owner = program.owner();
-    owner.set_up(0x51, &QUICK);
+    let mut client = program.client();
+    client.set_up(0x51, &QUICK);
     let offer = conns[0].expect("new");
     let field = |name| offer.get("f").and_then(|f| f.get_str(name));
     assert_eq!((offer.get_str("ref"), offer.get_str("d")), (Some(hex(0x51).as_str()), Some("c=IN 81\r\n")));
@@ -22,12 +22,12 @@
     conns[0].up(&hex(0x51));
     // A host's second word is no second answer.
     conns[0].up(&hex(0x51));
-    let answer = owner.read();
+    let answer = client.read();
     assert_eq!((answer.kind, answer.id, answer.text(174)), (9, 0x51, Some("stands 0000000000000051\r\n")));
-    assert!(owner.test(), "nothing else was written before the test's result");
+    assert!(client.test(), "nothing else was written before the test's result");
     // The end of the task is told, with its cause.
     conns[0].down(&hex(0x51), 16, "");
-    let end = owner.read();
+    let end = client.read();
     assert_eq!((end.kind, end.id, end.cause()), (12, 0x51, 16));
     conns[0].expect("ack");
 }
@@ -35,8 +35,8 @@
 #[test]
 fn a_refused_offer_goes_to_another_host_and_late_words_of_the_first_are_not_passed_on() {
     let (program, _feed, _hosts, mut conns) = start(2);
-    let mut owner = program.owner();
-    owner.set_up(1, &ONCE);
+    let mut client = program.client();
+    client.set_up(1, &ONCE);
     let (first, id) = offered(&mut conns);
     conns[first].down(&id, 34, "nc");
     let (second, again) = offered(&mut conns);
@@ -44,19 +44,19 @@
     conns[first].up(&id);
     conns[first].down(&id, 16, "");
     conns[second].up(&id);
-    assert_eq!(owner.read().kind, 9);
-    assert!(owner.test(), "one answer only");
+    assert_eq!(client.read().kind, 9);
+    assert!(client.test(), "one answer only");
 }
 
 #[test]
 fn with_no_room_a_task_is_refused_in_time_with_a_time_to_come_back() {
     let (program, _feed, _hosts, mut conns) = start(1);
-    let mut owner = program.owner();
+    let mut client = program.client();
     let start = Instant::now();
-    owner.set_up(1, &Ask { wait_ms: 900, ..QUICK });
+    client.set_up(1, &Ask { wait_ms: 900, ..QUICK });
     let id = conns[0].offer();
     conns[0].down(&id, 34, "nc");
-    let answer = owner.read();
+    let answer = client.read();
     assert_eq!((answer.kind, answer.cause()), (12, 42));
     assert!(start.elapsed() < Duration::from_millis(950), "{:?}", start.elapsed());
     let away: u64 = answer.text(147).and_then(|ms| ms.parse().ok()).expect("a time to stay away");
@@ -66,7 +66,7 @@
 #[test]
 fn a_set_up_sent_again_on_another_connection_is_answered_there() {
     let (program, _feed, _hosts, mut conns) = start(1);
-    let (mut first, mut second) = (program.owner(), program.owner());
+    let (mut first, mut second) = (program.client(), program.client());
     first.set_up(1, &QUICK);
     let id = conns[0].offer();
     second.set_up(1, &QUICK);
@@ -78,34 +78,34 @@
 }
 
 #[test]
-fn an_owner_that_gives_up_or_goes_away_is_owed_nothing_and_its_host_is_told() {
+fn a_client_that_gives_up_or_goes_away_is_owed_nothing_and_its_host_is_told() {
     let (program, _feed, _hosts, mut conns) = start(1);
-    let mut owner = program.owner();
-    owner.set_up(1, &QUICK);
+    let mut client = program.client();
+    client.set_up(1, &QUICK);
     let id = conns[0].offer();
-    owner.release(1, 16);
+    client.release(1, 16);
     assert_eq!(conns[0].expect("down").get_u64("c"), Some(16));
     conns[0].up(&id);
-    assert!(owner.test());
-    owner.set_up(2, &QUICK);
+    assert!(client.test());
+    client.set_up(2, &QUICK);
     conns[0].offer();
-    drop(owner);
+    drop(client);
     assert_eq!(conns[0].expect("down").get_str("ref"), Some(hex(2).as_str()));
 }
 
 // Found in rehearsals: a host's answer and release were read at once, and the release went out on another
-// connection, where its owner read it before the answer.
+// connection, where its client read it before the answer.
 #[test]
 fn the_end_of_a_task_is_told_after_its_answer_on_the_same_connection() {
     let (program, _feed, _hosts, mut conns) = start(1);
-    let (mut first, mut other) = (program.owner(), program.owner());
-    for (id, owner) in [(1, &mut other), (2, &mut first)] {
-        owner.set_up(id, &QUICK);
+    let (mut first, mut other) = (program.client(), program.client());
+    for (id, client) in [(1, &mut other), (2, &mut first)] {
+        client.set_up(id, &QUICK);
         conns[0].offer();
         // The other has had a task placed, and is heard last.
         if id == 1 {
             conns[0].up(&hex(1));
-            assert_eq!(owner.read().kind, 9);
+            assert_eq!(client.read().kind, 9);
         }
     }
     assert!(other.test());
@@ -123,11 +123,11 @@
 #[test]
 fn a_task_whose_time_is_over_is_not_offered_again() {
     let (program, _feed, _hosts, mut conns) = start(2);
-    let mut owner = program.owner();
-    owner.set_up(1, &QUICK);
+    let mut client = program.client();
+    client.set_up(1, &QUICK);
     let (at, id) = offered(&mut conns);
     conns[at].down(&id, 16, "");
-    let answer = owner.read();
+    let answer = client.read();
     assert_eq!((answer.kind, answer.cause()), (12, 16));
     assert!(conns[1 - at].read_within(QUIET).is_none());
 }
@@ -137,11 +137,11 @@
 #[test]
 fn a_task_that_must_not_start_twice_fails_once_it_may_have_run() {
     let (program, _feed, _hosts, mut conns) = start(2);
-    let mut owner = program.owner();
-    owner.set_up(1, &ONCE);
+    let mut client = program.client();
+    client.set_up(1, &ONCE);
     let (first, _) = offered(&mut conns);
     drop(conns.remove(first));
-    let answer = owner.read();
+    let answer = client.read();
     assert_eq!((answer.kind, answer.cause()), (12, 47));
     assert!(conns[0].read_within(QUIET).is_none(), "no second offer");
 }
@@ -149,13 +149,13 @@
 #[test]
 fn an_attempt_that_timed_out_is_given_up_and_a_late_answer_is_not_passed_on() {
     let (program, _feed, _hosts, mut conns) = start(1);
-    let mut owner = program.owner();
-    owner.set_up(1, &Ask { wait_ms: 800, ..QUICK });
+    let mut client = program.client();
+    client.set_up(1, &Ask { wait_ms: 800, ..QUICK });
     let id = conns[0].offer();
     let down = conns[0].expect("down");
     assert_eq!((down.get_str("ref"), down.get_u64("c")), (Some(id.as_str()), Some(16)));
     conns[0].up(&id);
-    assert_eq!((owner.read().kind, owner.test()), (12, true));
+    assert_eq!((client.read().kind, client.test()), (12, true));
 }
 
 // ---- Rules 3 to 5 ----
@@ -164,14 +164,14 @@
 fn a_draining_host_gets_nothing_new() {
     let (program, mut feed, hosts, mut conns) = start(2);
     feed.event(2, &hosts[0], "draining");
-    let mut owner = program.owner();
+    let mut client = program.client();
     std::thread::sleep(Duration::from_secs(2));
     for id in 1..20 {
-        owner.set_up(id, &Ask { service: id, ..QUICK });
+        client.set_up(id, &Ask { service: id, ..QUICK });
         let (at, offer) = offered(&mut conns);
         assert_eq!(at, 1, "offered after the grace");
         conns[at].down(&offer, 16, "");
-        assert_eq!(owner.read().kind, 12);
+        assert_eq!(client.read().kind, 12);
     }
 }
 
@@ -182,8 +182,8 @@
     let program = Program::start(&config(&feed, vec![host.entry("up", unix_ms())]));
     feed.subscribed();
     let mut conn = host.accept();
-    let mut owner = program.owner();
-    (1..=12).for_each(|id| owner.set_up(id, &Ask { service: id, ..QUICK }));
+    let mut client = program.client();
+    (1..=12).for_each(|id| client.set_up(id, &Ask { service: id, ..QUICK }));
     let times: Vec<Instant> = (0..5)
         .map(|_| {
             let id = conn.offer();
@@ -199,8 +199,8 @@
 #[test]
 fn a_service_is_spread_over_zones() {
     let (program, _feed, _hosts, mut conns) = start(1);
-    let mut owner = program.owner();
-    (1..=3).for_each(|id| owner.set_up(id, &QUICK));
+    let mut client = program.client();
+    (1..=3).for_each(|id| client.set_up(id, &QUICK));
     let placed = [conns[0].offer(), conns[0].offer()];
     placed.iter().for_each(|id| conns[0].up(id));
     assert!(conns[0].read_within(QUIET).is_none(), "two stand, a third is held");
@@ -214,14 +214,14 @@
 #[test]
 fn a_standing_task_belongs_to_no_connection() {
     let (program, _feed, hosts, mut conns) = start(1);
-    let mut owner = program.owner();
+    let mut client = program.client();
     for id in [1, 2] {
-        owner.set_up(id, &Ask { service: id, ..QUICK });
+        client.set_up(id, &Ask { service: id, ..QUICK });
         let offer = conns[0].offer();
         conns[0].up(&offer);
-        owner.read();
+        client.read();
     }
-    drop(owner);
+    drop(client);
     // The host closes its connection: the tasks stand on, and it is called again.
     drop(conns.remove(0));
     let mut conn = hosts[0].accept();
@@ -229,30 +229,30 @@
     conn.down(&hex(1), 41, "ev");
     conn.expect("ack");
     conn.expect("ack");
-    // With no owner connected the end waits for the next one that asks for anything, and comes once.
-    // An owner may end a task on any connection; the host's word then goes no further.
-    let mut owner = program.owner();
-    owner.release(2, 31);
-    let end = owner.read();
+    // With no client connected the end waits for the next one that asks for anything, and comes once.
+    // A client may end a task on any connection; the host's word then goes no further.
+    let mut client = program.client();
+    client.release(2, 31);
+    let end = client.read();
     assert_eq!((end.kind, end.id, end.cause()), (12, 1, 41));
-    assert_eq!(owner.read().kind, 16);
+    assert_eq!(client.read().kind, 16);
     assert_eq!(conn.expect("down").get_u64("c"), Some(31));
     conn.down(&hex(2), 31, "");
     conn.expect("ack");
-    assert!(owner.test());
+    assert!(client.test());
 }
 
 #[test]
 fn what_stood_at_a_dead_process_is_lost_at_once() {
     let (program, _feed, mut hosts, mut conns) = start(1);
-    let mut owner = program.owner();
-    owner.set_up(1, &QUICK);
+    let mut client = program.client();
+    client.set_up(1, &QUICK);
     let id = conns[0].offer();
     conns[0].up(&id);
-    owner.read();
+    client.read();
     hosts.clear();
     conns.clear();
-    let end = owner.read();
+    let end = client.read();
     assert_eq!((end.kind, end.id, end.cause()), (12, 1, 41));
 }
 
@@ -260,34 +260,34 @@
 #[test]
 fn when_a_process_is_gone_the_others_of_its_cell_are_called_again() {
     let (program, _feed, mut hosts, mut conns) = start(2);
-    let mut owner = program.owner();
+    let mut client = program.client();
     for (id, host) in [(1, "h0"), (2, "h1")] {
-        owner.set_up(id, &Ask { at: Some(host), ..QUICK });
+        client.set_up(id, &Ask { at: Some(host), ..QUICK });
     }
-    assert!(owner.test());
+    assert!(client.test());
     // Nothing listens any more, but only the first connection shows it.
     hosts.clear();
     drop(conns.remove(0));
-    let mut lost = [owner.read(), owner.read()].map(|end| (end.id, end.cause()));
+    let mut lost = [client.read(), client.read()].map(|end| (end.id, end.cause()));
     lost.sort_unstable();
     assert_eq!(lost, [(1, 41), (2, 41)]);
 }
 
 #[test]
-fn a_release_that_comes_before_the_owner_tells_of_the_task_is_kept_for_it() {
+fn a_release_that_comes_before_the_client_tells_of_the_task_is_kept_for_it() {
     let (program, _feed, _hosts, mut conns) = start(1);
     conns[0].down(&hex(1), 16, "");
     conns[0].expect("ack");
-    let mut owner = program.owner();
-    owner.set_up(1, &Ask { at: Some("h0"), ..QUICK });
-    owner.set_up(2, &Ask { at: Some("h0"), ..QUICK });
+    let mut client = program.client();
+    client.set_up(1, &Ask { at: Some("h0"), ..QUICK });
+    client.set_up(2, &Ask { at: Some("h0"), ..QUICK });
     // It may be named again, which changes nothing.
-    owner.set_up(2, &Ask { at: Some("h0"), ..QUICK });
-    let end = owner.read();
+    client.set_up(2, &Ask { at: Some("h0"), ..QUICK });
+    let end = client.read();
     assert_eq!((end.kind, end.id, end.cause()), (12, 1, 16));
     conns[0].down(&hex(2), 16, "");
-    assert_eq!(owner.read().id, 2);
-    assert!(owner.test());
+    assert_eq!(client.read().id, 2);
+    assert!(client.test());
 }
 
 // ---- Peers that fail ----
@@ -296,58 +296,58 @@
 #[test]
 fn a_connection_silent_while_an_offer_is_out_is_replaced() {
     let (program, _feed, hosts, mut conns) = start(1);
-    let mut owner = program.owner();
-    owner.set_up(1, &QUICK);
+    let mut client = program.client();
+    client.set_up(1, &QUICK);
     let id = conns[0].offer();
     let mut second = hosts[0].accept();
-    owner.set_up(2, &QUICK);
+    client.set_up(2, &QUICK);
     assert_eq!(second.offer(), hex(2));
     // The first is still heard.
     conns[0].up(&id);
-    assert_eq!((owner.read().id, owner.0.peer_addr().is_ok()), (1, true));
+    assert_eq!((client.read().id, client.0.peer_addr().is_ok()), (1, true));
 }
 
 /// Two hosts, one of which holds a task and has vanished with another offered to it: that one comes again on
 /// a new connection of the other, which is of the same cell, and is placed there.
-fn one_vanishes() -> (Program, Feed, Owner, Vec<Host>, usize, OutOfReach, Instant) {
+fn one_vanishes() -> (Program, Feed, Client, Vec<Host>, usize, OutOfReach, Instant) {
     let (program, feed, hosts, mut conns) = start(2);
-    let mut owner = program.owner();
-    owner.set_up(1, &QUICK);
+    let mut client = program.client();
+    client.set_up(1, &QUICK);
     let (at, id) = offered(&mut conns);
     conns[at].up(&id);
     let heard = Instant::now();
-    assert_eq!(owner.read().kind, 9);
+    assert_eq!(client.read().kind, 9);
     let held = hosts[at].vanish();
-    owner.set_up(2, &QUICK);
+    client.set_up(2, &QUICK);
     assert_eq!(conns[at].offer(), hex(2));
     let since = Instant::now();
     let mut beside = hosts[1 - at].accept();
     assert_eq!(beside.offer(), hex(2));
-    assert!(since.elapsed() < Duration::from_secs(3), "well before its owner gives up");
+    assert!(since.elapsed() < Duration::from_secs(3), "well before its client gives up");
     beside.up(&hex(2));
-    assert_eq!(owner.read().kind, 9);
-    (program, feed, owner, hosts, at, held, heard)
+    assert_eq!(client.read().kind, 9);
+    (program, feed, client, hosts, at, held, heard)
 }
 
-// Found on days with hosts that are cut off for a while: offers to each stayed out there until their owners
+// Found on days with hosts that are cut off for a while: offers to each stayed out there until their clients
 // gave up, and what stood there was called lost, though it ran on.
 #[test]
 fn what_stands_at_a_host_that_is_cut_off_stands_on_and_what_was_offered_there_goes_elsewhere() {
-    let (_program, _feed, mut owner, hosts, at, held, _) = one_vanishes();
+    let (_program, _feed, mut client, hosts, at, held, _) = one_vanishes();
     // Out of reach for longer than a lost task needs to be told, less than it may go untold.
-    let told = owner.message_within(Duration::from_secs(4));
+    let told = client.message_within(Duration::from_secs(4));
     assert!(told.is_err(), "{told:?}");
     hosts[at].come_back(held);
     let mut back = hosts[at].accept();
     back.down(&hex(1), 16, "");
-    let end = owner.read();
+    let end = client.read();
     assert_eq!((end.kind, end.id, end.cause()), (12, 1, 16));
 }
 
 #[test]
 fn what_stood_at_a_host_that_does_not_come_back_is_lost_in_time() {
-    let (_program, _feed, mut owner, _hosts, _at, _held, heard) = one_vanishes();
-    let end = owner.read();
+    let (_program, _feed, mut client, _hosts, _at, _held, heard) = one_vanishes();
+    let end = client.read();
     assert_eq!((end.kind, end.id, end.cause()), (12, 1, 41));
     assert!(heard.elapsed() < Duration::from_millis(8_050), "{:?}", heard.elapsed());
 }
@@ -359,11 +359,11 @@
     let program = Program::start_with(&config(&feed, vec![host.entry("up", 0)]), 32);
     feed.subscribed();
     let mut conn = host.accept();
-    let mut busy = program.owner();
+    let mut busy = program.client();
     busy.set_up(1, &QUICK);
     let id = conn.offer();
-    let idle: Vec<Owner> = (0..60).map(|_| program.owner()).collect();
-    let mut last = program.owner();
+    let idle: Vec<Client> = (0..60).map(|_| program.client()).collect();
+    let mut last = program.client();
     last.set_up(2, &QUICK);
     assert_eq!(conn.offer(), hex(2));
     conn.up(&id);
@@ -371,15 +371,15 @@
 }
 
 #[test]
-fn bad_owners_end_alone() {
+fn bad_clients_end_alone() {
     let (program, _feed, _hosts, mut conns) = start(1);
-    let mut good = program.owner();
+    let mut good = program.client();
     for bad in
         [&[0xff, 0xff, 1][..], &[0, 3, 1, 2, 3], &bytes(12, 1, &[]), &[0, 10, 1, 0, 0, 0, 0, 0, 0, 0, 1, 9]]
     {
-        let mut owner = program.owner();
-        owner.say(bad);
-        assert_eq!(owner.next_message(), None, "{bad:?}");
+        let mut client = program.client();
+        client.say(bad);
+        assert_eq!(client.next_message(), None, "{bad:?}");
     }
     // A set-up of an unknown class, and one with nothing in it, fail; the connection goes on.
     good.set_up(1, &Ask { class: "unheard", ..QUICK });
@@ -401,8 +401,8 @@
     drop(feed.stream_taken());
     assert_eq!(feed.subscribed(), 3, "after a break");
     assert_eq!(feed.subscribed(), 3, "after a silence");
-    let mut owner = program.owner();
-    owner.set_up(1, &QUICK);
+    let mut client = program.client();
+    client.set_up(1, &QUICK);
     assert_eq!(conns[0].offer(), hex(1), "an event that comes twice counts once");
 }
 
@@ -430,18 +430,18 @@
 #[test]
 fn at_sigterm_new_work_is_still_taken_and_all_is_answered() {
     let (mut program, _feed, _hosts, mut conns) = start(1);
-    let mut owner = program.owner();
-    owner.set_up(1, &QUICK);
+    let mut client = program.client();
+    client.set_up(1, &QUICK);
     let held = conns[0].offer();
     program.terminate();
-    while owner.test() {}
-    let mut late = program.owner();
+    while client.test() {}
+    let mut late = program.client();
     late.set_up(2, &Ask { service: 2, ..QUICK });
     let id = conns[0].offer();
     conns[0].up(&id);
     assert_eq!((late.read().id, program.exit().code()), (2, Some(0)));
-    // The host never answered the first: its owner was told before the end.
-    let answer = owner.read();
+    // The host never answered the first: its client was told before the end.
+    let answer = client.read();
     assert_eq!((answer.kind, answer.id, answer.cause()), (12, 1, 42));
     assert_eq!(conns[0].expect("down").get_str("ref"), Some(held.as_str()));
 }
--- a/tests/rough.rs
+++ b/tests/rough.rs
@@ -1,4 +1,4 @@
-//! The program among owners, hosts and a feed that misbehave, one test for each guard.
+//! The program among clients, hosts and a feed that misbehave, one test for each guard.
 
 #![recursion_limit = "256"]
 
@@ -26,7 +26,7 @@
 #[test]
 fn asks_that_cannot_be_right_are_answered_at_once_and_reach_no_host() {
     let (program, _feed, _hosts, mut conns) = start(1);
-    let mut owner = program.owner();
+    let mut client = program.client();
     let good = "cores:1;memory:2;service:7";
     let cases = [
         (0, "6000", "ours", good),
@@ -39,17 +39,17 @@
         (8, "6000", "ours", "cores:NaN;memory:2;service:7"),
     ];
     for (id, wait, tenant, figures) in cases {
-        owner.say(&bytes(1, id, &parameters(wait, tenant, figures)));
-        let answer = owner.read();
+        client.say(&bytes(1, id, &parameters(wait, tenant, figures)));
+        let answer = client.read();
         assert_eq!((answer.kind, answer.id, answer.cause()), (12, id, 47), "{wait} {tenant} {figures}");
     }
     // An id that is over is not used again.
-    owner.set_up(9, &QUICK);
+    client.set_up(9, &QUICK);
     assert_eq!(conns[0].offer(), hex(9));
     conns[0].down(&hex(9), 16, "");
-    assert_eq!(owner.read().cause(), 16);
-    owner.set_up(9, &ONCE);
-    assert_eq!((owner.read().cause(), owner.test()), (47, true));
+    assert_eq!(client.read().cause(), 16);
+    client.set_up(9, &ONCE);
+    assert_eq!((client.read().cause(), client.test()), (47, true));
     assert!(conns[0].read_within(QUIET).is_none());
 }
 
@@ -57,21 +57,21 @@
 #[test]
 fn an_id_that_is_open_is_not_taken_over() {
     let (program, _feed, _hosts, mut conns) = start(1);
-    let mut owner = program.owner();
-    owner.set_up(1, &QUICK);
+    let mut client = program.client();
+    client.set_up(1, &QUICK);
     let id = conns[0].offer();
-    let mut other = program.owner();
+    let mut other = program.client();
     other.set_up(1, &Ask { service: 8, ..QUICK });
     assert_eq!(other.next_message(), None, "the second connection ends");
-    let mut other = program.owner();
+    let mut other = program.client();
     other.say(&bytes(1, 1, &[]));
     assert_eq!(other.next_message(), None, "nor is a failure under its id told");
     // Given up from elsewhere it is still owed.
-    let mut other = program.owner();
+    let mut other = program.client();
     other.release(1, 16);
     assert_eq!(other.read().kind, 16);
     conns[0].up(&id);
-    assert_eq!((owner.read().kind, owner.test()), (9, true));
+    assert_eq!((client.read().kind, client.test()), (9, true));
     // Two set-ups under one number end their connection, and the offer is given up.
     other.set_up(2, &Ask { service: 8, ..QUICK });
     assert_eq!(conns[0].offer(), hex(2));
@@ -84,16 +84,16 @@
 fn who_says_nothing_or_half_a_message_is_closed_and_who_asked_once_stays() {
     let (program, _feed, _hosts, _conns) = start(1);
     let started = Instant::now();
-    let mut silent = program.owner();
-    let mut half = program.owner();
+    let mut silent = program.client();
+    let mut half = program.client();
     half.say(&[0, 200, 1, 0, 0]);
-    let mut after = program.owner();
+    let mut after = program.client();
     assert!(after.test());
     after.say(&[0]);
-    let mut once = program.owner();
+    let mut once = program.client();
     assert!(once.test());
-    for owner in [&mut silent, &mut half, &mut after] {
-        assert_eq!(owner.next_message(), None);
+    for client in [&mut silent, &mut half, &mut after] {
+        assert_eq!(client.next_message(), None);
     }
     assert!(started.elapsed() < OWED, "{:?}", started.elapsed());
     assert!(once.test());
@@ -102,23 +102,23 @@
 #[test]
 fn what_is_no_use_gets_a_word_or_a_close() {
     let (program, _feed, _hosts, _conns) = start(1);
-    let mut owner = program.owner();
-    owner.release(77, 16);
-    assert_eq!((owner.read().kind, owner.test()), (16, true), "of a task that is not known");
-    owner.say(&bytes(99, 5, &[]));
-    assert_eq!(owner.next_message(), None, "of an unknown type");
+    let mut client = program.client();
+    client.release(77, 16);
+    assert_eq!((client.read().kind, client.test()), (16, true), "of a task that is not known");
+    client.say(&bytes(99, 5, &[]));
+    assert_eq!(client.next_message(), None, "of an unknown type");
     // The word comes before the end, though more is under way that nobody reads.
-    let mut owner = program.owner();
-    owner.say(&bytes(1, 4, &parameters("6000", "nobody", "")));
-    owner.say(&[0xff; 300_000]);
-    assert_eq!(owner.read().cause(), 47);
-    assert_eq!(owner.next_message(), None);
+    let mut client = program.client();
+    client.say(&bytes(1, 4, &parameters("6000", "nobody", "")));
+    client.say(&[0xff; 300_000]);
+    assert_eq!(client.read().cause(), 47);
+    assert_eq!(client.next_message(), None);
 }
 
 // Found on days with clients that ask once and keep their connection: at the limit every accept failed
 // first, and set-ups waited for seconds.
 #[test]
-fn owners_stay_within_a_budget_of_descriptors_and_the_busy_are_kept() {
+fn clients_stay_within_a_budget_of_descriptors_and_the_busy_are_kept() {
     let mut feed = Feed::new();
     let host = Host::new("h0", "north");
     let mut config = config(&feed, vec![host.entry("up", 0)]);
@@ -126,11 +126,11 @@
     let program = Program::start(&config);
     feed.subscribed();
     let mut conn = host.accept();
-    let mut busy = program.owner();
+    let mut busy = program.client();
     busy.set_up(1, &QUICK);
     let id = conn.offer();
-    let mut stayed: Vec<Owner> = (0..64).map(|_| program.owner()).collect();
-    assert!(stayed.last_mut().is_some_and(Owner::test));
+    let mut stayed: Vec<Client> = (0..64).map(|_| program.client()).collect();
+    assert!(stayed.last_mut().is_some_and(Client::test));
     let descriptors = program.descriptors();
     assert!(descriptors < 64, "{descriptors}");
     conn.up(&id);
@@ -138,19 +138,19 @@
 }
 
 #[test]
-fn the_end_of_a_task_goes_to_an_owner_and_is_told_again_where_it_was_not_heard() {
+fn the_end_of_a_task_goes_to_a_client_and_is_told_again_where_it_was_not_heard() {
     let (program, _feed, _hosts, mut conns) = start(1);
-    let mut owner = program.owner();
-    owner.set_up(1, &QUICK);
+    let mut client = program.client();
+    client.set_up(1, &QUICK);
     let id = conns[0].offer();
     conns[0].up(&id);
-    assert_eq!(owner.read().kind, 9);
-    let mut stranger = program.owner();
+    assert_eq!(client.read().kind, 9);
+    let mut stranger = program.client();
     stranger.release(9, 31);
     assert_eq!(stranger.read().kind, 16, "heard last, and has no task");
     conns[0].down(&id, 16, "");
-    assert_eq!(owner.read().id, 1);
-    drop(owner);
+    assert_eq!(client.read().id, 1);
+    drop(client);
     assert_eq!(stranger.read().id, 1, "not heard there, so told again");
     stranger.say(&bytes(16, 1, &[]));
     assert!(stranger.test());
@@ -159,11 +159,11 @@
 #[test]
 fn a_task_at_a_host_that_no_list_knows_does_not_stand_for_ever() {
     let (program, _feed, _hosts, _conns) = start(1);
-    let mut owner = program.owner();
-    owner.set_up(1, &Ask { at: Some("h9"), ..QUICK });
-    owner.set_up(2, &Ask { at: Some("h0"), ..QUICK });
+    let mut client = program.client();
+    client.set_up(1, &Ask { at: Some("h9"), ..QUICK });
+    client.set_up(2, &Ask { at: Some("h0"), ..QUICK });
     let started = Instant::now();
-    assert_eq!((owner.read().id, owner.test()), (1, true));
+    assert_eq!((client.read().id, client.test()), (1, true));
     assert!(started.elapsed() < OWED, "{:?}", started.elapsed());
 }
 
@@ -179,21 +179,21 @@
     assert_eq!(feed.subscribed(), 1);
     feed.event(2, &host, "up");
     let mut conn = host.accept();
-    let mut owner = program.owner();
-    owner.set_up(1, &QUICK);
+    let mut client = program.client();
+    client.set_up(1, &QUICK);
     let id = conn.offer();
     for n in 3..5 {
         // A file that can't be read leaves the one before in force.
         program.reload("{\"feed\":");
         feed.event(n, &host, "up");
-        assert!(owner.test());
+        assert!(client.test());
         feed = Feed::new();
         config["feed"] = feed.address().into();
         program.reload(&config.encode());
         assert_eq!(feed.subscribed(), n);
     }
     conn.up(&id);
-    assert_eq!((owner.read().kind, owner.test()), (9, true));
+    assert_eq!((client.read().kind, client.test()), (9, true));
 }
 
 #[test]
@@ -218,13 +218,13 @@
 #[test]
 fn a_spoilt_answer_ends_its_connection_and_what_may_be_repeated_goes_elsewhere() {
     let (program, _feed, hosts, mut conns) = start(2);
-    let mut owner = program.owner();
+    let mut client = program.client();
     let up = |rest: &str| format!("{{\"t\":\"up\",\"ref\":\"{}\"{rest}", hex(1));
     // Noise, no description, a line that never ends, one that stops short.
     let spoilt = ["\u{1}\u{2}\n".into(), up(",\"f\":{}}\n"), up(&"x".repeat(20_000)), up(",\"d\":\"sta")];
     for (n, bytes) in spoilt.iter().enumerate() {
         let id = 1 + n as u64;
-        owner.set_up(id, &Ask { service: 20 + id, ..QUICK });
+        client.set_up(id, &Ask { service: 20 + id, ..QUICK });
         let (at, _) = offered(&mut conns);
         conns[at].raw(bytes.as_bytes());
         assert!(conns[at].ended(), "{n}");
@@ -232,25 +232,25 @@
         let (again, offer) = offered(&mut conns);
         assert_eq!((again, offer.as_str()), (1 - at, hex(id).as_str()), "{n}");
         conns[again].up(&offer);
-        assert_eq!((owner.read().kind, owner.test()), (9, true), "{n}");
+        assert_eq!((client.read().kind, client.test()), (9, true), "{n}");
     }
     // What must not start twice fails.
-    owner.set_up(9, &ONCE);
+    client.set_up(9, &ONCE);
     let (at, _) = offered(&mut conns);
     conns[at].raw(spoilt[1].as_bytes());
-    assert_eq!((owner.read().cause(), owner.test()), (47, true));
+    assert_eq!((client.read().cause(), client.test()), (47, true));
 }
 
 #[test]
 fn a_good_answer_that_brings_more_than_belongs_to_it_is_taken_once() {
     let (program, _feed, _hosts, mut conns) = start(1);
-    let mut owner = program.owner();
-    owner.set_up(1, &QUICK);
+    let mut client = program.client();
+    client.set_up(1, &QUICK);
     let id = conns[0].offer();
     conns[0].up("00000000000000ff");
     conns[0].up(&id);
     conns[0].up(&id);
-    assert_eq!((owner.read().id, owner.test()), (1, true));
-    owner.set_up(2, &QUICK);
+    assert_eq!((client.read().id, client.test()), (1, true));
+    client.set_up(2, &QUICK);
     assert_eq!(conns[0].offer(), hex(2), "the connection is still good");
 }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -94,7 +94,7 @@
 }
 
 #[test]
-fn an_owner_that_is_gone_gets_no_answer() {
+fn a_client_that_is_gone_gets_no_answer() {
     let mut b = Bench::with(settings(), 0);
     b.ask(task(1, 1));
     b.give(Event::Gone(req(1)));
@@ -104,7 +104,7 @@
 }
 
 #[test]
-fn a_refusal_tells_when_to_come_back_where_owners_are_told() {
+fn a_refusal_tells_when_to_come_back_where_clients_are_told() {
     for (told, most, expected) in
         [(true, 3 * SECOND, SECOND), (true, SECOND / 2, SECOND / 2), (false, SECOND, 0)]
     {
