Rehearsals: owners are clients; plans that say owners are still read

Need: crates/load called the peers that ask for tasks owners, in code, in plans and in what it prints.

Change: module owners is clients, type Owners is Clients. In plans the table [owners] is [clients] and the side owners of a link fault is clients; the former words are still read, with a test for each. Printed texts follow (the line 'clients: n first tries', the plot line 'returns of clients', names of keys in what is wrong with a plan). No column of a table, no harm.txt column and no random draw changes.

--- a/crates/load/src/arrivals.rs
+++ b/crates/load/src/arrivals.rs
@@ -25,7 +25,7 @@
     pub tenant: usize,
     /// Index of its service within its class.
     pub service: u32,
-    /// The room of its owner.
+    /// The room of its client.
     pub room: usize,
     /// What it asks for.
     pub cores: f64,
--- a/crates/load/src/owners.rs
+++ b/crates/load/src/clients.rs
@@ -1,4 +1,4 @@
-//! What owners do: a pure engine. Events and the time go in, effects come out; it opens no connection and
+//! What clients do: a pure engine. Events and the time go in, effects come out; it opens no connection and
 //! keeps no clock.
 //!
 //! ```text
@@ -27,7 +27,7 @@
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 
-/// How owners space their repeats.
+/// How clients space their repeats.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Policy {
@@ -67,15 +67,15 @@
     pub most: Micros,
     /// Repeats for each first try under `Policy::Budget`.
     pub budget: f64,
-    /// The share of owners that stay away as long as a refusal asks.
+    /// The share of clients that stay away as long as a refusal asks.
     pub honour: f64,
     /// How long a task that must not start twice settles.
     pub settle: Micros,
-    /// How long the owner of a task that was lost or moved waits before it comes again.
+    /// How long the client of a task that was lost or moved waits before it comes again.
     pub rejoin: (Micros, Micros),
 }
 
-/// A task, as its owner knows it.
+/// A task, as its client knows it.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Wanted {
     /// Its name.
@@ -84,7 +84,7 @@
     pub due: Micros,
     /// When its time is over.
     pub over: Micros,
-    /// How long its owner waits for an answer.
+    /// How long its client waits for an answer.
     pub limit: Micros,
     /// Whether it must not start twice.
     pub once: bool,
@@ -103,7 +103,7 @@
     Ended,
     /// The task that stood was lost, cut or evicted.
     Lost,
-    /// It moves: its owner is to come again.
+    /// It moves: its client is to come again.
     Moved,
 }
 
@@ -158,7 +158,7 @@
     Done(u64, Fate),
 }
 
-/// How a task ended for its owner.
+/// How a task ended for its client.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Fate {
     /// It ran to its end.
@@ -203,7 +203,7 @@
     ids: Vec<u64>,
 }
 
-/// Counts of what owners did.
+/// Counts of what clients did.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Counts {
     /// First tries.
@@ -218,8 +218,8 @@
     pub presented: u64,
 }
 
-/// All owners.
-pub struct Owners {
+/// All clients.
+pub struct Clients {
     settings: Settings,
     rng: ChaCha8Rng,
     tasks: BTreeMap<u64, Task>,
@@ -235,10 +235,10 @@
 /// The most repeats that the budget saves up.
 const MOST_TOKENS: f64 = 100.0;
 
-impl Owners {
-    /// Owners that have yet to want anything. Ids begin at `first_id`.
-    pub fn new(settings: Settings, seed: u64, first_id: u64) -> Owners {
-        Owners {
+impl Clients {
+    /// Clients that have yet to want anything. Ids begin at `first_id`.
+    pub fn new(settings: Settings, seed: u64, first_id: u64) -> Clients {
+        Clients {
             settings,
             rng: ChaCha8Rng::seed_from_u64(seed ^ 0x6f77_6e65),
             tasks: BTreeMap::new(),
@@ -250,7 +250,7 @@
         }
     }
 
-    /// What owners have done so far.
+    /// What clients have done so far.
     pub fn counts(&self) -> Counts {
         self.counts
     }
@@ -422,7 +422,7 @@
         self.back_off(now + wait, key);
     }
 
-    /// What stood is no more: its owner comes again soon.
+    /// What stood is no more: its client comes again soon.
     fn come_again(&mut self, now: Micros, key: u64) {
         let (least, most) = self.settings.rejoin;
         let wait = self.rng.random_range(least..=most.max(least));
@@ -530,8 +530,8 @@
         }
     }
 
-    fn owners(policy: Policy) -> Owners {
-        Owners::new(settings(policy), 1, 100)
+    fn clients(policy: Policy) -> Clients {
+        Clients::new(settings(policy), 1, 100)
     }
 
     fn wanted(key: u64, once: bool) -> Wanted {
@@ -546,10 +546,10 @@
     }
 
     /// Ticks by 10 ms until something is asked.
-    fn next_ask(owners: &mut Owners, now: &mut Micros, until: Micros) -> Option<u64> {
+    fn next_ask(clients: &mut Clients, now: &mut Micros, until: Micros) -> Option<u64> {
         while *now < until {
             *now += 10 * MS;
-            if let Some(id) = asked(&owners.tick(*now)) {
+            if let Some(id) = asked(&clients.tick(*now)) {
                 return Some(id);
             }
         }
@@ -558,29 +558,29 @@
 
     #[test]
     fn a_task_is_asked_for_placed_and_done_when_its_end_is_told() {
-        let mut owners = owners(Policy::Fixed);
-        let effects = owners.handle(0, Event::Due(wanted(1, false)));
+        let mut clients = clients(Policy::Fixed);
+        let effects = clients.handle(0, Event::Due(wanted(1, false)));
         assert_eq!(effects, [Effect::Ask { key: 1, id: 100, wait: 6 * SECOND, again: false }]);
-        assert_eq!(owners.handle(MS, Event::Word(100, Word::Placed)), []);
-        let effects = owners.handle(SECOND, Event::Word(100, Word::Ended));
+        assert_eq!(clients.handle(MS, Event::Word(100, Word::Placed)), []);
+        let effects = clients.handle(SECOND, Event::Word(100, Word::Ended));
         assert_eq!(effects, [Effect::Heard(100), Effect::Done(1, Fate::Ran)]);
-        assert_eq!(owners.handle(SECOND, Event::Word(100, Word::Ended)), [Effect::Heard(100)], "told again");
-        assert_eq!(owners.open(), 0);
+        assert_eq!(clients.handle(SECOND, Event::Word(100, Word::Ended)), [Effect::Heard(100)], "told again");
+        assert_eq!(clients.open(), 0);
     }
 
     #[test]
     fn policies_space_repeats_as_they_are_named() {
         let waits = |policy| {
-            let mut owners = owners(policy);
+            let mut clients = clients(policy);
             let mut now = 0;
             let mut id =
-                asked(&owners.handle(now, Event::Due(Wanted { over: 1_000 * SECOND, ..wanted(1, false) })));
+                asked(&clients.handle(now, Event::Due(Wanted { over: 1_000 * SECOND, ..wanted(1, false) })));
             let mut waits = Vec::new();
             while let Some(open) = id.filter(|_| waits.len() < 6) {
                 let refused = now;
-                owners.handle(now, Event::Word(open, Word::Refused(None)));
+                clients.handle(now, Event::Word(open, Word::Refused(None)));
                 let until = now + 100 * SECOND;
-                id = next_ask(&mut owners, &mut now, until);
+                id = next_ask(&mut clients, &mut now, until);
                 waits.push((now - refused) / MS);
             }
             waits
@@ -597,36 +597,36 @@
     #[test]
     fn a_refusals_wait_is_honoured_by_those_who_honour() {
         for (honour, least) in [(1.0, 5_000), (0.0, 1_000)] {
-            let mut owners = Owners::new(Settings { honour, ..settings(Policy::Fixed) }, 1, 100);
-            owners.handle(0, Event::Due(wanted(1, false)));
-            owners.handle(0, Event::Word(100, Word::Refused(Some(5 * SECOND))));
+            let mut clients = Clients::new(Settings { honour, ..settings(Policy::Fixed) }, 1, 100);
+            clients.handle(0, Event::Due(wanted(1, false)));
+            clients.handle(0, Event::Word(100, Word::Refused(Some(5 * SECOND))));
             let mut now = 0;
-            assert!(next_ask(&mut owners, &mut now, 20 * SECOND).is_some());
+            assert!(next_ask(&mut clients, &mut now, 20 * SECOND).is_some());
             assert_eq!(now / MS, least);
         }
     }
 
     #[test]
     fn a_budget_bounds_all_repeats_together() {
-        let mut owners = owners(Policy::Budget);
+        let mut clients = clients(Policy::Budget);
         let mut now = 0;
         // Refuses every ask at once, for 200 tasks.
         for key in 0..200 {
-            let mut effects = owners.handle(now, Event::Due(wanted(key, false)));
+            let mut effects = clients.handle(now, Event::Due(wanted(key, false)));
             while let Some(id) = asked(&effects) {
-                effects = owners.handle(now, Event::Word(id, Word::Refused(None)));
+                effects = clients.handle(now, Event::Word(id, Word::Refused(None)));
             }
             now += 10 * MS;
-            for id in owners.tick(now).iter().filter_map(|e| asked(std::slice::from_ref(e))) {
-                owners.handle(now, Event::Word(id, Word::Refused(None)));
+            for id in clients.tick(now).iter().filter_map(|e| asked(std::slice::from_ref(e))) {
+                clients.handle(now, Event::Word(id, Word::Refused(None)));
             }
         }
-        while let Some(id) = next_ask(&mut owners, &mut now, 100 * SECOND) {
-            owners.handle(now, Event::Word(id, Word::Refused(None)));
+        while let Some(id) = next_ask(&mut clients, &mut now, 100 * SECOND) {
+            clients.handle(now, Event::Word(id, Word::Refused(None)));
         }
-        let counts = owners.counts();
+        let counts = clients.counts();
         assert!(counts.again as f64 <= MOST_TOKENS / 4.0 + 0.1 * counts.first as f64 + 1.0, "{counts:?}");
-        assert!(counts.unbudgeted > 0 && owners.open() == 0, "{counts:?}");
+        assert!(counts.unbudgeted > 0 && clients.open() == 0, "{counts:?}");
     }
 
     #[test]
@@ -638,55 +638,55 @@
             ("unsent", Event::Unsent(100), false),
         ];
         for (name, event, settles) in cases {
-            let mut owners = owners(Policy::Fixed);
-            owners.handle(0, Event::Due(wanted(1, true)));
-            owners.handle(0, event);
+            let mut clients = clients(Policy::Fixed);
+            clients.handle(0, Event::Due(wanted(1, true)));
+            clients.handle(0, event);
             let mut now = 0;
-            next_ask(&mut owners, &mut now, 20 * SECOND);
+            next_ask(&mut clients, &mut now, 20 * SECOND);
             assert_eq!(now / MS, if settles { 3_000 } else { 1_000 }, "{name}");
         }
         // A host turns out to hold it.
-        let mut owners = owners(Policy::Fixed);
-        owners.handle(0, Event::Due(wanted(1, true)));
-        owners.handle(0, Event::Broken(100));
-        let effects = owners.handle(SECOND, Event::Found { key: 1, id: 100 });
+        let mut clients = clients(Policy::Fixed);
+        clients.handle(0, Event::Due(wanted(1, true)));
+        clients.handle(0, Event::Broken(100));
+        let effects = clients.handle(SECOND, Event::Found { key: 1, id: 100 });
         assert_eq!(effects, [Effect::Present { key: 1, id: 100 }]);
         let mut now = SECOND;
-        assert_eq!(next_ask(&mut owners, &mut now, 10 * SECOND), None, "not asked for again");
+        assert_eq!(next_ask(&mut clients, &mut now, 10 * SECOND), None, "not asked for again");
         // One that stands is not found again.
-        assert_eq!(owners.handle(now, Event::Found { key: 1, id: 100 }), []);
+        assert_eq!(clients.handle(now, Event::Found { key: 1, id: 100 }), []);
     }
 
     #[test]
     fn lost_and_moved_tasks_come_again_soon_and_standing_ones_are_presented_after_a_restart() {
         for word in [Word::Lost, Word::Moved] {
-            let mut owners = owners(Policy::Fixed);
-            owners.handle(0, Event::Due(wanted(1, false)));
-            owners.handle(0, Event::Word(100, Word::Placed));
-            owners.sent_to(100, 2);
-            assert_eq!(owners.handle(MS, Event::Restarted(1)), []);
-            assert_eq!(owners.handle(MS, Event::Restarted(2)), [Effect::Present { key: 1, id: 100 }]);
-            owners.handle(SECOND, Event::Word(100, word));
+            let mut clients = clients(Policy::Fixed);
+            clients.handle(0, Event::Due(wanted(1, false)));
+            clients.handle(0, Event::Word(100, Word::Placed));
+            clients.sent_to(100, 2);
+            assert_eq!(clients.handle(MS, Event::Restarted(1)), []);
+            assert_eq!(clients.handle(MS, Event::Restarted(2)), [Effect::Present { key: 1, id: 100 }]);
+            clients.handle(SECOND, Event::Word(100, word));
             let mut now = SECOND;
-            assert_eq!(next_ask(&mut owners, &mut now, 2 * SECOND), Some(101), "{word:?}");
+            assert_eq!(next_ask(&mut clients, &mut now, 2 * SECOND), Some(101), "{word:?}");
             assert!(now - SECOND <= 510 * MS);
         }
     }
 
     #[test]
-    fn an_owner_gives_up_after_its_limit_and_a_task_after_its_time() {
-        let mut owners = owners(Policy::Fixed);
-        owners.handle(0, Event::Due(Wanted { over: 10 * SECOND, ..wanted(1, false) }));
-        let effects = owners.tick(6 * SECOND);
+    fn a_client_gives_up_after_its_limit_and_a_task_after_its_time() {
+        let mut clients = clients(Policy::Fixed);
+        clients.handle(0, Event::Due(Wanted { over: 10 * SECOND, ..wanted(1, false) }));
+        let effects = clients.tick(6 * SECOND);
         assert_eq!(effects, [Effect::GiveUp(100)]);
-        assert!(asked(&owners.tick(7 * SECOND)).is_some());
-        owners.handle(7 * SECOND, Event::Word(101, Word::Refused(Some(5 * SECOND))));
-        assert_eq!(owners.tick(12 * SECOND), [Effect::Done(1, Fate::OverWaiting)]);
+        assert!(asked(&clients.tick(7 * SECOND)).is_some());
+        clients.handle(7 * SECOND, Event::Word(101, Word::Refused(Some(5 * SECOND))));
+        assert_eq!(clients.tick(12 * SECOND), [Effect::Done(1, Fate::OverWaiting)]);
         // One that stands past its time is waited for a little.
-        owners.handle(0, Event::Due(Wanted { over: 10 * SECOND, ..wanted(2, false) }));
-        owners.handle(0, Event::Word(102, Word::Placed));
-        assert_eq!(owners.tick(18 * SECOND), []);
-        assert_eq!(owners.tick(19 * SECOND), [Effect::Done(2, Fate::OverStanding)]);
+        clients.handle(0, Event::Due(Wanted { over: 10 * SECOND, ..wanted(2, false) }));
+        clients.handle(0, Event::Word(102, Word::Placed));
+        assert_eq!(clients.tick(18 * SECOND), []);
+        assert_eq!(clients.tick(19 * SECOND), [Effect::Done(2, Fate::OverStanding)]);
     }
 
     proptest! {
@@ -699,7 +699,7 @@
             words in prop::collection::vec((0..12u64, 0..9u8, 0..2_000i64), 1..120),
             policy in 0..4usize,
         ) {
-            let mut owners = owners(Policy::ALL[policy]);
+            let mut clients = clients(Policy::ALL[policy]);
             let mut open: BTreeMap<u64, u64> = BTreeMap::new();
             let (mut now, mut due, mut done) = (0, 0u64, 0u64);
             let mut may_run: BTreeMap<u64, Micros> = BTreeMap::new();
@@ -724,7 +724,7 @@
             };
             for (key, what, gap) in words {
                 now += gap * MS;
-                done += take(owners.tick(now), &mut open, &may_run, now);
+                done += take(clients.tick(now), &mut open, &may_run, now);
                 let id = open.get(&key).copied();
                 let event = match (what, id) {
                     (0, _) if key >= due => {
@@ -742,13 +742,13 @@
                 };
                 // Only tasks that must not start twice settle.
                 may_run.retain(|key, _| (key + 1).is_multiple_of(2));
-                done += take(owners.handle(now, event), &mut open, &may_run, now);
+                done += take(clients.handle(now, event), &mut open, &may_run, now);
             }
             for _ in 0..20_000 {
                 now += 10 * MS;
-                done += take(owners.tick(now), &mut open, &BTreeMap::new(), now);
+                done += take(clients.tick(now), &mut open, &BTreeMap::new(), now);
             }
-            prop_assert_eq!((owners.open(), done), (0, due));
+            prop_assert_eq!((clients.open(), done), (0, due));
         }
     }
 }
--- a/crates/load/src/front.rs
+++ b/crates/load/src/front.rs
@@ -1,7 +1,7 @@
 //! The front layer: which placer the next connection goes to. Pure; results of tests and answers of agents
 //! go in.
 //!
-//! It spreads owners over the placers of their room, takes a placer in once it passes its first test, takes
+//! It spreads clients over the placers of their room, takes a placer in once it passes its first test, takes
 //! one out at once where a test says so, and notices a dead one only after some tests have failed.
 
 use standin::balance::{Advice, Balancer};
@@ -81,7 +81,7 @@
         self.up.iter().all(|up| *up)
     }
 
-    /// The placer for an owner of a room: one of its room, else any that is in, else none.
+    /// The placer for a client of a room: one of its room, else any that is in, else none.
     pub fn pick(&mut self, room: usize) -> Option<usize> {
         let room = room % self.rooms;
         let own = self.balancers.get_mut(room).and_then(Balancer::pick);
--- a/crates/load/src/harm.rs
+++ b/crates/load/src/harm.rs
@@ -1,7 +1,7 @@
 //! What a fleet of placers does to its hosts, counted over all placers together from the notes of a run.
 //!
 //! What is sensible in one placer shows its harm only in the sum: offers that hosts refuse or throw away,
-//! owners that come again, calls, and trials at a host that is in trouble. Growth of these with the number of
+//! clients that come again, calls, and trials at a host that is in trouble. Growth of these with the number of
 //! placers, at the same load, is what a fleet does wrong.
 
 use crate::plan::{FaultKind, Plan};
@@ -31,7 +31,7 @@
     pub line_ms: u32,
     /// At placers.
     pub held_ms: u32,
-    /// Offers of tasks whose owners had asked before.
+    /// Offers of tasks whose clients had asked before.
     pub repeated: u32,
 }
 
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -1,13 +1,13 @@
-//! Rehearsals: plans, arrivals that wait for nobody, owners that act like owners, and what is made of it.
+//! Rehearsals: plans, arrivals that wait for nobody, clients that act like real ones, and what is made of it.
 
 #![recursion_limit = "256"]
 
 pub mod arrivals;
+pub mod clients;
 pub mod director;
 pub mod front;
 pub mod harm;
 pub mod network;
-pub mod owners;
 pub mod plan;
 pub mod report;
 pub mod results;
--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -2,7 +2,7 @@
 
 use clap::{Args, Parser, Subcommand, ValueEnum};
 use load::arrivals::arrivals;
-use load::owners::Policy;
+use load::clients::Policy;
 use load::plan::Plan;
 use load::report::{html, shape_svg, shape_text};
 use load::results::{Summary, findings, interval_log, summarize};
@@ -388,7 +388,7 @@
     let mut columns = Vec::new();
     for policy in Policy::ALL {
         let mut plan = plan.clone();
-        plan.owners.policy = policy;
+        plan.clients.policy = policy;
         plan.name = policy.as_str().to_string();
         columns.push((policy, spreads(&over_seeds(&plan, seeds, common)?)));
     }
@@ -467,7 +467,7 @@
     Ok(0)
 }
 
-/// Finds the highest rate at which one core makes set-ups in time: a generator without placers, whose owners
+/// Finds the highest rate at which one core makes set-ups in time: a generator without placers, whose clients
 /// write to a listener of its own that reads and throws away.
 fn pace(seconds: u64) -> Done {
     let mut best = None;
--- a/crates/load/src/network.rs
+++ b/crates/load/src/network.rs
@@ -2,7 +2,7 @@
 //! with them when.
 //!
 //! Only links that a fault of the plan names get a relay; all others are as without. Parties are written as
-//! `placers 0..3, hosts 2`, `rooms 1` (its hosts and its placers), `racks 0`, `feeds` or `owners`; without numbers all
+//! `placers 0..3, hosts 2`, `rooms 1` (its hosts and its placers), `racks 0`, `feeds` or `clients`; without numbers all
 //! of a kind are meant. A fault strikes every link between a party of one side and a party of the other,
 //! whoever calls.
 
@@ -23,7 +23,7 @@
 /// Kinds of parties.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Kind {
-    Owners,
+    Clients,
     Placers,
     Hosts,
     Racks,
@@ -33,7 +33,7 @@
 
 impl Kind {
     const ALL: [(&'static str, Kind); 6] = [
-        ("owners", Kind::Owners),
+        ("clients", Kind::Clients),
         ("placers", Kind::Placers),
         ("hosts", Kind::Hosts),
         ("racks", Kind::Racks),
@@ -41,6 +41,12 @@
         ("feeds", Kind::Feeds),
     ];
 
+    /// The kind that a plan means; earlier plans call clients `owners`.
+    fn named(word: &str) -> Option<Kind> {
+        let word = if word == "owners" { "clients" } else { word };
+        Kind::ALL.iter().find(|(name, _)| *name == word).map(|(_, kind)| *kind)
+    }
+
     fn as_str(self) -> &'static str {
         Kind::ALL.iter().find(|(_, kind)| *kind == self).map_or("", |(name, _)| name)
     }
@@ -60,8 +66,7 @@
     fn try_from(text: String) -> Result<Parties, String> {
         let named = text.split(',').map(|part| {
             let mut words = part.split_whitespace();
-            let kind = words.next().and_then(|word| Kind::ALL.iter().find(|(name, _)| *name == word));
-            let (_, kind) = kind.ok_or_else(|| {
+            let kind = words.next().and_then(Kind::named).ok_or_else(|| {
                 let known = Kind::ALL.map(|(name, _)| name).join(", ");
                 format!("expected one of {known}, found \"{}\"", part.trim())
             })?;
@@ -75,7 +80,7 @@
                     return Err(format!("expected one number or range in \"{}\"", part.trim()));
                 }
             };
-            Ok((*kind, which))
+            Ok((kind, which))
         });
         Ok(Parties { named: named.collect::<Result<_, String>>()?, text })
     }
@@ -106,7 +111,7 @@
         let mut ends = BTreeSet::new();
         for (kind, which) in &self.named {
             let count = match kind {
-                Kind::Owners => 1,
+                Kind::Clients => 1,
                 Kind::Placers | Kind::Feeds => placers,
                 Kind::Hosts => hosts,
                 Kind::Racks => hosts.div_ceil(rack),
@@ -118,7 +123,7 @@
             }
             for n in all {
                 match kind {
-                    Kind::Owners => drop(ends.insert(End::Clients)),
+                    Kind::Clients => drop(ends.insert(End::Clients)),
                     Kind::Placers => drop(ends.insert(End::Placer(n))),
                     Kind::Hosts => drop(ends.insert(End::Host(n))),
                     Kind::Feeds => drop(ends.insert(End::Feed(n))),
@@ -137,7 +142,7 @@
 /// A link, by its placer and whom it is with.
 type Link = (usize, Peer);
 
-/// The links between two sets of ends. Owners call placers; placers call hosts, and their own feed.
+/// The links between two sets of ends. Clients call placers; placers call hosts, and their own feed.
 fn between(one: &BTreeSet<End>, other: &BTreeSet<End>) -> BTreeSet<Link> {
     let mut links = BTreeSet::new();
     for (from, to) in [(one, other), (other, one)] {
@@ -234,8 +239,8 @@
         Ok(Some(Network { links, relayed, faults, notes }))
     }
 
-    /// Where owners call a placer: its relay, if that link has one.
-    pub fn owners_call(&self, placer: usize, keeper: &Keeper) -> io::Result<Option<SocketAddr>> {
+    /// Where clients call a placer: its relay, if that link has one.
+    pub fn clients_call(&self, placer: usize, keeper: &Keeper) -> io::Result<Option<SocketAddr>> {
         let Some(listen) = keeper.listen(placer) else { return Ok(None) };
         if !self.relayed.contains(&(placer, Peer::Clients)) {
             return Ok(Some(listen));
@@ -287,11 +292,13 @@
             ("placers 1", "hosts 0..2", hosts(1, &[0, 1])),
             ("hosts 0..2", "placers 1", hosts(1, &[0, 1])),
             ("racks 2", "placers 0", hosts(0, &[4])),
+            ("clients", "placers 0..2", vec![(0, Peer::Clients), (1, Peer::Clients)]),
+            // As plans called clients before.
             ("owners", "placers 0..2", vec![(0, Peer::Clients), (1, Peer::Clients)]),
             ("placers", "feeds 2", vec![(2, Peer::Feed)]),
             // A room is its hosts and its placers: it is parted from the other.
             ("rooms 0", "rooms 1", [hosts(0, &[1, 3]), hosts(1, &[0, 2, 4]), hosts(2, &[1, 3])].concat()),
-            ("owners, feeds", "placers 2", vec![(2, Peer::Clients), (2, Peer::Feed)]),
+            ("clients, feeds", "placers 2", vec![(2, Peer::Clients), (2, Peer::Feed)]),
         ] {
             let plan = plan(&link("link-cut", from, to)).expect(from);
             let found = struck(&plan, &plan.faults[0]).expect(from);
@@ -302,16 +309,16 @@
     #[test]
     fn what_can_not_be_meant_is_named() {
         for (faults, says) in [
-            (link("link-cut", "placer 0", "hosts"), "expected one of owners, placers"),
+            (link("link-cut", "placer 0", "hosts"), "expected one of clients, placers"),
             (link("link-cut", "placers 0 1", "hosts"), "expected one number or range"),
             (link("link-cut", "placers 3..2", "hosts"), "expected a range"),
             (link("link-cut", "placers 3", "hosts"), "from: there are 3 placers, counted from 0, found 3"),
             (link("link-cut", "placers", "racks 3"), "to: there are 3 racks"),
-            (link("link-cut", "owners", "hosts"), "nobody of \"owners\" calls anybody of \"hosts\""),
-            (link("link-slow", "owners", "placers"), "by: expected how late"),
-            (link("placer-stop", "owners", "placers"), "from, to, by: only faults of links"),
+            (link("link-cut", "clients", "hosts"), "nobody of \"clients\" calls anybody of \"hosts\""),
+            (link("link-slow", "clients", "placers"), "by: expected how late"),
+            (link("placer-stop", "clients", "placers"), "from, to, by: only faults of links"),
             ("[[fault]]\nat = \"1s\"\nkind = \"link-cut\"\n".into(), "from, to: expected parties"),
-            (link("link-cut", "owners", "placers") + "which = 1\n", "which: links are named by from and to"),
+            (link("link-cut", "clients", "placers") + "which = 1\n", "which: links are named by from and to"),
             (
                 link("link-cut", "placers", "feeds") + "[[fault]]\nat = \"1s\"\nkind = \"feed-moved\"\n",
                 "a feed behind a link does not move",
--- a/crates/load/src/plan.rs
+++ b/crates/load/src/plan.rs
@@ -1,8 +1,8 @@
 //! Plans: everything that a rehearsal is made of, in one TOML file. Unknown keys are refused, and a value
 //! that can't be meant is named with its field before anything starts.
 
+use crate::clients::Policy;
 use crate::network::{self, MOST_LINKS, Parties};
-use crate::owners::Policy;
 use crate::shape::{self, Shape};
 use serde::{Deserialize, Serialize};
 use standin::audit::Peer;
@@ -36,7 +36,7 @@
     pub name: String,
     /// Everything drawn at random comes from it.
     pub seed: u64,
-    /// Rooms of placers, hosts and owners.
+    /// Rooms of placers, hosts and clients.
     pub rooms: Vec<String>,
     /// Real placers.
     pub placers: Placers,
@@ -52,8 +52,9 @@
     pub tenants: Vec<Tenant>,
     /// When tasks come.
     pub arrivals: Arrivals,
-    /// What owners do.
-    pub owners: Owners,
+    /// What clients do. Earlier plans call the table `owners`.
+    #[serde(alias = "owners")]
+    pub clients: Clients,
     /// What goes wrong, and when.
     #[serde(rename = "fault")]
     pub faults: Vec<Fault>,
@@ -80,7 +81,7 @@
             .map(|(name, share)| Tenant { name: name.into(), share, flood: 1.0 })
             .to_vec(),
             arrivals: Arrivals::default(),
-            owners: Owners::default(),
+            clients: Clients::default(),
             faults: Vec::new(),
             aims: Aims::default(),
         }
@@ -343,10 +344,10 @@
     }
 }
 
-/// What owners do.
+/// What clients do.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, rename_all = "kebab-case", default)]
-pub struct Owners {
+pub struct Clients {
     /// How they space their repeats.
     pub policy: Policy,
     /// The least that a repeat waits.
@@ -357,9 +358,9 @@
     pub most: Duration,
     /// Repeats for each first try that the budgeted policy allows.
     pub budget: f64,
-    /// The share of owners that stay away as long as a refusal asks.
+    /// The share of clients that stay away as long as a refusal asks.
     pub honour: f64,
-    /// How long the owner of a task that must not start twice waits where an attempt may have run.
+    /// How long the client of a task that must not start twice waits where an attempt may have run.
     #[serde(with = "span")]
     pub settle: Duration,
     /// Connections to each placer.
@@ -367,14 +368,14 @@
     /// A connection without a task is closed after this.
     #[serde(with = "span")]
     pub idle: Duration,
-    /// How long after the last arrival owners go on.
+    /// How long after the last arrival clients go on.
     #[serde(with = "span")]
     pub drain: Duration,
     /// Spread blind, or by what the placers' agents tell.
     pub spread: Spread,
 }
 
-/// How the front layer spreads owners.
+/// How the front layer spreads clients.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Spread {
@@ -384,9 +385,9 @@
     Agent,
 }
 
-impl Default for Owners {
-    fn default() -> Owners {
-        Owners {
+impl Default for Clients {
+    fn default() -> Clients {
+        Clients {
             policy: Policy::Jitter,
             base: Duration::from_millis(1_500),
             most: Duration::from_secs(8),
@@ -692,23 +693,23 @@
             "arrivals.service-skew, room-skew: expected 0 to 5".into(),
         );
         want(
-            share(self.owners.honour) && share(self.aims.share),
-            "owners.honour, aims.share: expected 0 to 1".into(),
+            share(self.clients.honour) && share(self.aims.share),
+            "clients.honour, aims.share: expected 0 to 1".into(),
         );
-        want((1..=256).contains(&self.owners.connections), "owners.connections: expected 1 to 256".into());
+        want((1..=256).contains(&self.clients.connections), "clients.connections: expected 1 to 256".into());
         want(
-            self.owners.base <= self.owners.most && !self.owners.base.is_zero(),
-            "owners.base: expected more than 0s and at most owners.most".into(),
+            self.clients.base <= self.clients.most && !self.clients.base.is_zero(),
+            "clients.base: expected more than 0s and at most clients.most".into(),
         );
         want(
-            self.owners.budget.is_finite() && self.owners.budget >= 0.0,
-            "owners.budget: expected 0 or more".into(),
+            self.clients.budget.is_finite() && self.clients.budget >= 0.0,
+            "clients.budget: expected 0 or more".into(),
         );
-        if self.owners.spread == Spread::Agent {
+        if self.clients.spread == Spread::Agent {
             let opens = self.placers.operator.as_ref().is_some_and(|text| text.contains("{agent}"));
             want(
                 opens,
-                "owners.spread: agent: [placers] operator must open an agent check at {agent}".into(),
+                "clients.spread: agent: [placers] operator must open an agent check at {agent}".into(),
             );
         }
         let mut struck = BTreeSet::new();
@@ -789,6 +790,16 @@
         assert_eq!(Plan::parse(&text).expect("a plan"), plan);
     }
 
+    #[test]
+    fn plans_that_call_clients_owners_are_read_as_before() {
+        let plan = |table: &str| Plan::parse(&format!("[{table}]\nspread = \"blind\"\ndrain = \"6s\"\n"));
+        let named = plan("clients").expect("a plan");
+        assert_eq!(named.clients.drain, Duration::from_secs(6));
+        assert_eq!(plan("owners").expect("the table's former name"), named);
+        let both = Plan::parse("[clients]\ndrain = \"6s\"\n[owners]\ndrain = \"6s\"\n").expect_err("both");
+        assert!(both.to_string().contains("duplicate field"), "{both}");
+    }
+
     #[test]
     fn what_can_not_be_meant_is_named() {
         for (text, says) in [
@@ -804,7 +815,7 @@
                 "fault 0: which: there are 3, counted from 0, found 3",
             ),
             ("[[fault]]\nat = \"1s\"\nkind = \"flood\"", "unknown variant"),
-            ("[owners]\nspread = \"agent\"", "must open an agent check"),
+            ("[clients]\nspread = \"agent\"", "must open an agent check"),
             ("[arrivals]\nprocess = { kind = \"gamma\", cv = 0 }", "cv: expected 0.05 to 10"),
         ] {
             let error = Plan::parse(text).expect_err(text).to_string();
--- a/crates/load/src/report.rs
+++ b/crates/load/src/report.rs
@@ -232,7 +232,7 @@
                 ("offers", BLUE, over(|s| s.offers)),
                 ("refused", RED, over(|s| s.refused)),
                 ("in vain", MAGENTA, over(|s| s.in_vain)),
-                ("returns of owners", GREEN, over(|s| s.returns)),
+                ("returns of clients", GREEN, over(|s| s.returns)),
             ],
             &faults,
             false,
--- a/crates/load/src/results.rs
+++ b/crates/load/src/results.rs
@@ -1,6 +1,6 @@
 //! What is made of a run: histograms by class, tenant, phase and outcome, a time series, and the verdict.
 
-use crate::owners::Fate;
+use crate::clients::Fate;
 use crate::run::{Outcome, Task};
 use crate::shape::Micros;
 use hdrhistogram::Histogram;
@@ -122,7 +122,7 @@
     pub groups: Vec<Group>,
     /// Second by second of due times.
     pub seconds: Vec<Second>,
-    /// How tasks ended for their owners.
+    /// How tasks ended for their clients.
     pub fates: BTreeMap<&'static str, u64>,
     /// Broken rules, by name.
     pub broken: BTreeMap<&'static str, usize>,
@@ -212,7 +212,7 @@
         }
         let counts = outcome.counts;
         text.push_str(&format!(
-            "\nowners: {} first tries, {} repeats, {} attempts brought nothing, {} presented\n",
+            "\nclients: {} first tries, {} repeats, {} attempts brought nothing, {} presented\n",
             counts.first, counts.again, counts.wasted, counts.presented
         ));
         text.push_str(&outcome.harm.text());
@@ -309,7 +309,7 @@
 pub(crate) mod tests {
     use super::*;
     use crate::arrivals::arrivals;
-    use crate::owners::Counts;
+    use crate::clients::Counts;
     use crate::plan::Plan;
 
     /// A run that was never made: each task started after so long.
--- a/crates/load/src/run.rs
+++ b/crates/load/src/run.rs
@@ -4,11 +4,11 @@
 //! socket does not take wait in memory, with the time at which their task was due.
 
 use crate::arrivals::{Arrival, arrivals};
+use crate::clients::{Clients, Counts, Effect, Event, Fate, Settings, Wanted, Word};
 use crate::director::{self, Act};
 use crate::front::{Front, Tested};
 use crate::harm::Harm;
 use crate::network::Network;
-use crate::owners::{Counts, Effect, Event, Fate, Owners, Settings, Wanted, Word};
 use crate::plan::{Plan, Spread};
 use crate::shape::{Micros, Shape};
 use async_channel::{Receiver, Sender};
@@ -57,9 +57,9 @@
     pub phase: usize,
     /// When it first stood, from when it was due.
     pub started: Option<Micros>,
-    /// When its owner was first answered at all, likewise.
+    /// When its client was first answered at all, likewise.
     pub answered: Option<Micros>,
-    /// Attempts of its owner.
+    /// Attempts of its client.
     pub attempts: u32,
     /// Of those, refused.
     pub refused: u32,
@@ -93,11 +93,11 @@
     pub tasks: Vec<Task>,
     /// When the plan began, on the clock of the notes.
     pub begun: Micros,
-    /// When owners stopped.
+    /// When clients stopped.
     pub ended: Micros,
     /// How late the generator itself was, in microseconds.
     pub lateness: Histogram<u64>,
-    /// What owners did.
+    /// What clients did.
     pub counts: Counts,
     /// Broken rules.
     pub findings: Vec<Finding>,
@@ -210,7 +210,7 @@
             "class_most": (of(&|c| json!(c.most_in_room.max(1)))), "class_priority": (of(&|c| json!(c.priority))),
             "fades_over": (of(&|_| json!(0.5))), "full_up_to": (of(&|_| json!(1.0))),
             "kind_cores": [(plan.hosts.cores)], "kind_memory": [(plan.hosts.memory)], "lists_free": (!plan.feed.refresh.is_zero()),
-            "make_sure": (ms(plan.owners.settle)), "mean_memory": (mean(|s| s[1])), "usual_cores": (mean(|s| s[0])),
+            "make_sure": (ms(plan.clients.settle)), "mean_memory": (mean(|s| s[1])), "usual_cores": (mean(|s| s[0])),
             "measured_by": "asked", "no_price": 0.03, "preempts": (plan.hosts.preempts),
             "prompt_start_s": (of(&|_| json!(10.0))),
             "spread_by": (of(&|c| json!(if c.most_in_room > 0 { "zone" } else { "off" }))),
@@ -267,7 +267,7 @@
     let mut placers: Vec<(SocketAddr, SocketAddr)> = Vec::new();
     for n in 0..keeper.count() {
         let called = match &network {
-            Some(network) => network.owners_call(n, &keeper).map_err(error("the links"))?,
+            Some(network) => network.clients_call(n, &keeper).map_err(error("the links"))?,
             None => keeper.listen(n),
         };
         placers.extend(called.zip(keeper.agent(n)));
@@ -318,8 +318,8 @@
         }
         let whole = async {
             world.pace(begun, &due, &shape).await;
-            let end = notes.instant(begun + lasts + micros(plan.owners.drain));
-            while Instant::now() < end && world.inner.borrow().owners.open() > 0 {
+            let end = notes.instant(begun + lasts + micros(plan.clients.drain));
+            while Instant::now() < end && world.inner.borrow().clients.open() > 0 {
                 Timer::after(Duration::from_millis(20)).await;
             }
             false
@@ -343,7 +343,7 @@
     let (looks, rooms, places) = (site.looks(), site.rooms(), site.places());
     drop(site);
     let all = notes.all();
-    // What came after owners had stopped is nobody's to hear; how placers ended counts all the same.
+    // What came after clients had stopped is nobody's to hear; how placers ended counts all the same.
     let kept: Vec<(Micros, Note)> =
         all.into_iter().filter(|(at, note)| *at <= ended || matches!(note, Note::Placer(..))).collect();
     let inner = world.inner.borrow();
@@ -368,7 +368,7 @@
         begun: began,
         ended,
         lateness: inner.lateness.clone(),
-        counts: inner.owners.counts(),
+        counts: inner.clients.counts(),
         findings,
         harm,
         notes: kept.len(),
@@ -380,7 +380,7 @@
     })
 }
 
-/// How late the generator is at a rate, alone on a core: its owners speak to a listener that reads everything
+/// How late the generator is at a rate, alone on a core: its clients speak to a listener that reads everything
 /// and answers nothing, on another thread.
 pub fn pace_alone(rate: f64, span: Duration) -> Result<Histogram<u64>, RunError> {
     let text = format!("[placers]\ncount = 1\n[arrivals]\nshape = \"{rate}/s for {}ms\"\n", span.as_millis());
@@ -463,7 +463,7 @@
 }
 
 struct Inner {
-    owners: Owners,
+    clients: Clients,
     front: Front,
     conns: BTreeMap<u64, Conn>,
     next_conn: u64,
@@ -475,18 +475,18 @@
 
 impl Inner {
     fn new(plan: &Plan) -> Inner {
-        let owners = &plan.owners;
+        let clients = &plan.clients;
         let settings = Settings {
-            policy: owners.policy,
-            base: micros(owners.base),
-            most: micros(owners.most),
-            budget: owners.budget,
-            honour: owners.honour,
-            settle: micros(owners.settle),
+            policy: clients.policy,
+            base: micros(clients.base),
+            most: micros(clients.most),
+            budget: clients.budget,
+            honour: clients.honour,
+            settle: micros(clients.settle),
             rejoin: (50 * MILLI, SECOND),
         };
         Inner {
-            owners: Owners::new(settings, plan.seed, (plan.seed.wrapping_mul(0x9e37_79b9) << 24) | 1),
+            clients: Clients::new(settings, plan.seed, (plan.seed.wrapping_mul(0x9e37_79b9) << 24) | 1),
             front: Front::new(plan.placers.count, plan.rooms.len()),
             conns: BTreeMap::new(),
             next_conn: 0,
@@ -557,9 +557,9 @@
         }
     }
 
-    /// Tells the owners' engine, and does what it wants. `to` is where presented tasks go.
+    /// Tells the clients' engine, and does what it wants. `to` is where presented tasks go.
     fn tell(self: &Rc<Self>, now: Micros, event: Event, to: Option<usize>) {
-        let effects = self.inner.borrow_mut().owners.handle(now, event);
+        let effects = self.inner.borrow_mut().clients.handle(now, event);
         self.act(now, effects, to);
     }
 
@@ -637,7 +637,7 @@
             if let Some(task) = inner.tasks.get_mut(&key) {
                 task.attempts += 1;
             }
-            // Nobody is in: an owner tries one all the same.
+            // Nobody is in: a client tries one all the same.
             let fallback = inner.turn % self.placers.len().max(1);
             inner.turn += 1;
             inner.tasks.get(&key).cloned().map(|task| (task, placer.unwrap_or(fallback)))
@@ -669,7 +669,7 @@
         let at = Some(running.host);
         let sent = self.set_up(&task, Attempt { id, wait: 0, placer, again: false, at, now });
         self.notes.add(sent.note.clone());
-        self.inner.borrow_mut().owners.sent_to(id, placer);
+        self.inner.borrow_mut().clients.sent_to(id, placer);
         let on = self.send(now, placer, None, &sent.bytes);
         if let Some(conn) = self.inner.borrow_mut().conns.get_mut(&on) {
             conn.stands.insert(id);
@@ -696,7 +696,7 @@
                 .map(|(n, conn)| (conn.open.len() + conn.writing.len(), *n))
                 .collect();
             theirs.sort_unstable();
-            let full = theirs.len() >= self.plan.owners.connections;
+            let full = theirs.len() >= self.plan.clients.connections;
             theirs.first().filter(|(busy, _)| full || *busy == 0).map(|(_, n)| *n)
         };
         let n = chosen.unwrap_or_else(|| self.connect(now, placer));
@@ -775,7 +775,7 @@
     /// Writes what is queued, and notes the set-ups that are written whole. Ends where nothing has happened
     /// for a while.
     async fn write(self: &Rc<Self>, n: u64, stream: &Async<TcpStream>, woken: Receiver<()>) -> bool {
-        let idle = self.plan.owners.idle;
+        let idle = self.plan.clients.idle;
         loop {
             let chunk: Vec<u8> = {
                 let inner = self.inner.borrow();
@@ -857,7 +857,7 @@
         let cause = message.get(171).and_then(|cause| cause.first().copied()).unwrap_or(0);
         let (told, open) = {
             let mut inner = self.inner.borrow_mut();
-            let open = inner.owners.is_open(id);
+            let open = inner.clients.is_open(id);
             if let Some(conn) = inner.conns.get_mut(&n) {
                 conn.used = now;
                 conn.open.remove(&id);
@@ -878,7 +878,7 @@
             };
             if open {
                 let begun = self.begun.get();
-                let key = inner.owners.key(id);
+                let key = inner.clients.key(id);
                 if let Some(task) = key.and_then(|key| inner.tasks.get_mut(&key)) {
                     let after = now - begun - task.arrival.due;
                     task.answered = task.answered.or(Some(after));
@@ -904,7 +904,7 @@
         };
         self.tell(now, Event::Word(id, word), None);
         if word == Word::Placed {
-            self.inner.borrow_mut().owners.sent_to(id, placer);
+            self.inner.borrow_mut().clients.sent_to(id, placer);
         }
         if !open && message.kind == 12 {
             let mut inner = self.inner.borrow_mut();
@@ -914,33 +914,33 @@
         }
     }
 
-    /// Lets owners' alarms go off, and looks for tasks that settle and turn out to run.
+    /// Lets clients' alarms go off, and looks for tasks that settle and turn out to run.
     async fn tick_on(self: Rc<Self>) {
         let mut looked = 0;
         loop {
             let now = self.notes.now();
-            let effects = self.inner.borrow_mut().owners.tick(now);
+            let effects = self.inner.borrow_mut().clients.tick(now);
             self.act(now, effects, None);
             if now - looked > 100 * MILLI {
                 looked = now;
-                let settling = self.inner.borrow().owners.settling();
+                let settling = self.inner.borrow().clients.settling();
                 for key in settling {
                     if let Some(running) = self.notes.running(key) {
                         self.tell(now, Event::Found { key, id: running.id }, None);
                     }
                 }
             }
-            let next = self.inner.borrow().owners.next().unwrap_or(now + SECOND).min(now + 20 * MILLI);
+            let next = self.inner.borrow().clients.next().unwrap_or(now + SECOND).min(now + 20 * MILLI);
             Timer::at(self.notes.instant(next.max(now + MILLI))).await;
         }
     }
 
-    /// Tests every placer for the life of the run, and asks its agent where owners go by it.
+    /// Tests every placer for the life of the run, and asks its agent where clients go by it.
     fn test_all(self: Rc<Self>) {
         for n in 0..self.placers.len() {
             let testing = self.clone();
             self.executor.spawn(async move { testing.test_on(n).await }).detach();
-            if self.plan.owners.spread == Spread::Agent {
+            if self.plan.clients.spread == Spread::Agent {
                 let asking = self.clone();
                 self.executor.spawn(async move { asking.ask_agent_on(n).await }).detach();
             }
@@ -1037,7 +1037,7 @@
             Timer::after(Duration::from_millis(500)).await;
             let inner = self.inner.borrow();
             let placed = inner.tasks.values().filter(|task| task.started.is_some()).count();
-            let (due, open) = (inner.tasks.len(), inner.owners.open());
+            let (due, open) = (inner.tasks.len(), inner.clients.open());
             let at = (self.notes.now() - begun).max(0) / SECOND;
             let late = inner.lateness.value_at_quantile(0.99) as f64 / 1_000.0;
             eprint!(
--- a/crates/load/src/table.rs
+++ b/crates/load/src/table.rs
@@ -477,7 +477,7 @@
         Arc::new(tasks.iter().map(|t| Some(t.refused)).collect::<UInt32Array>()),
         numbers(tasks.iter().map(|t| t.placer.and_then(|p| i64::try_from(p).ok()))),
         texts(tasks.iter().map(|t| Some(result(outcome, t).as_str()))),
-        texts(tasks.iter().map(|t| t.fate.map(crate::owners::Fate::as_str))),
+        texts(tasks.iter().map(|t| t.fate.map(crate::clients::Fate::as_str))),
     ];
     write_parquet(file, schema, columns)
 }
--- a/crates/load/tests/rehearsal.rs
+++ b/crates/load/tests/rehearsal.rs
@@ -47,7 +47,7 @@
 
 /// Short lives, so that the end of a run is not far.
 const CLASSES: &str = "
-[owners]
+[clients]
 drain = \"6s\"
 [aims]
 own-lateness = \"200ms\"
@@ -107,7 +107,7 @@
 process = { kind = \"even\" }
 [aims]
 own-lateness = \"200ms\"
-[owners]
+[clients]
 drain = \"5s\"
 [[class]]
 name = \"pagina\"
@@ -279,7 +279,7 @@
 }
 
 #[test]
-fn owners_that_go_by_agents_lose_nothing_when_a_placer_drains() {
+fn clients_that_go_by_agents_lose_nothing_when_a_placer_drains() {
     let plan = format!(
         "seed = 4
 [placers]
@@ -301,7 +301,7 @@
 kind = \"placer-restart\"
 which = 1
 ",
-        CLASSES.replace("[owners]", "[owners]\nspread = \"agent\"")
+        CLASSES.replace("[clients]", "[clients]\nspread = \"agent\"")
     );
     let (outcome, folder) = rehearse(&plan);
     clean(&outcome);
@@ -365,7 +365,7 @@
     format!(
         "seed = 2\n[placers]\ncount = 6\noperator = '''{operator}'''\n\
          [hosts]\ncount = 6\nstarts = 2\nstart = \"60ms\"\ncold-start = 1.0\ncores = 200.0\nmemory = 400.0\n\
-         [owners]\ndrain = \"6s\"\nhonour = 0.5\n\
+         [clients]\ndrain = \"6s\"\nhonour = 0.5\n\
          [arrivals]\nshape = \"40/s for 2s, crowd: 360/s for 5s, after: 40/s for 5s\"\n\
          [aims]\nshare = 0.3\nown-lateness = \"200ms\"\n\
          [[class]]\nname = \"pagina\"\nshare = 1.0\naim = \"1s\"\nlimit = \"2s\"\nlife = \"6s\"\nlife-sigma = 0.2\n\
