Complaints to a terminal stand in a module of their own

Need: cli took ctl and ctl took complain from cli: a circle of imports. Change: complain moves unchanged to src/terminal.rs, which both use. No change of behaviour.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -3,6 +3,7 @@
 use crate::ctl;
 use crate::net::{self, config, log};
 use crate::operator::{self, Loaded, LogFormat, LogLevel, Operator};
+use crate::terminal::complain;
 use anisehead::operation::calls::Call;
 use clap::builder::PossibleValuesParser;
 use clap::{Args, CommandFactory, Parser, Subcommand};
@@ -130,11 +131,6 @@
     }
 }
 
-/// Prints a line on standard error; a standard error that is closed stops nothing.
-pub fn complain(line: &str) {
-    let _ = writeln!(std::io::stderr(), "{line}");
-}
-
 fn load_operator(path: Option<&Path>) -> Loaded {
     path.map_or_else(Loaded::default, operator::load)
 }
--- a/src/ctl.rs
+++ b/src/ctl.rs
@@ -3,8 +3,8 @@
 //! One JSON object a line each way. `{"v":1,"do":"drain"}` is answered by `{"v":1,"ok":true,...}` or
 //! `{"v":1,"ok":false,"error":"..."}`.
 
-use crate::cli::complain;
 use crate::operator;
+use crate::terminal::complain;
 use clap::Args;
 use simd_json::prelude::*;
 use simd_json::{OwnedValue, json};
--- a/src/main.rs
+++ b/src/main.rs
@@ -4,6 +4,7 @@
 mod ctl;
 mod net;
 mod operator;
+mod terminal;
 
 use std::process::ExitCode;
 
--- /dev/null
+++ b/src/terminal.rs
@@ -0,0 +1,8 @@
+//! What people at a terminal are told when something went wrong. It never ends the process.
+
+use std::io::Write;
+
+/// Prints a line on standard error; a standard error that is closed stops nothing.
+pub fn complain(line: &str) {
+    let _ = writeln!(std::io::stderr(), "{line}");
+}
