Constants close two circles no more: STUCK is in conn, MOST_CALLERS in dispatch

Need: links took STUCK from clients, and dispatch took MOST from admin, which itself needs dispatch: a circle. Change: STUCK is conn's, which counts it; admin::MOST is dispatch::MOST_CALLERS, which sets the descriptors apart. No change of behaviour.

--- a/src/net/admin.rs
+++ b/src/net/admin.rs
@@ -2,7 +2,7 @@
 
 use super::clients::AcceptFailed;
 use super::codec;
-use super::dispatch::{Dispatch, Shared};
+use super::dispatch::{Dispatch, MOST_CALLERS, Shared};
 use super::health::gate::{Gate, Place};
 use super::health::linger;
 use anisehead::Micros;
@@ -19,8 +19,6 @@
 use std::rc::Rc;
 use tracing::{debug, info};
 
-/// Callers at a time. Guards the descriptors; one that has said half a line makes room for the next.
-pub const MOST: usize = 8;
 /// How long a caller may take for its line, and to read its reply and close.
 const PATIENCE: Micros = 5_000_000;
 
@@ -32,7 +30,7 @@
 ) -> io::Result<Rc<Gate>> {
     let bound = Async::<TcpListener>::bind(address);
     let listener = bound.map_err(|e| io::Error::new(e.kind(), format!("admin: {address}: {e}")))?;
-    let gate = Rc::new(Gate::new(MOST));
+    let gate = Rc::new(Gate::new(MOST_CALLERS));
     executor.spawn(accept(listener, gate.clone(), shared.clone())).detach();
     info!(%address, "takes calls");
     Ok(gate)
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -1,7 +1,7 @@
 //! Connections from clients: accepting, reading, and where a task's end is told.
 
 use super::codec::{TaskId, binary};
-use super::conn::{Conn, End, Unread};
+use super::conn::{Conn, End, STUCK, Unread};
 use super::dispatch::Shared;
 use anisehead::descriptors::Shares;
 use anisehead::facade::Ticket;
@@ -22,8 +22,6 @@
 const UNSPOKEN: Micros = 2_200_000;
 /// A connection this young may still be waiting for its first message: it does not make room.
 const YOUNG: Micros = 100_000;
-/// How long a peer may take nothing from its queue.
-pub const STUCK: Micros = 5_000_000;
 /// How long a word on a task that stood is kept for the case that its connection ends unread.
 const UNHEARD: Micros = 10_000_000;
 /// How long a word on a task that stood may be on its way to its client.
--- a/src/net/conn.rs
+++ b/src/net/conn.rs
@@ -14,6 +14,8 @@
 /// Bytes that may wait for a peer that reads slowly.
 const MOST_QUEUED: usize = 256 * 1024;
 const CHUNK: usize = 16 * 1024;
+/// How long a peer may take nothing from its queue.
+pub const STUCK: Micros = 5_000_000;
 /// What is read at the most of a connection that has failed.
 const MOST_LEFT: usize = 64 * CHUNK;
 /// What is read off a connection after our end of it, and for how long.
--- a/src/net/dispatch.rs
+++ b/src/net/dispatch.rs
@@ -8,8 +8,7 @@
 mod links;
 mod operating;
 
-use super::admin;
-use super::clients::{ClientId, Clients, Presence, STUCK};
+use super::clients::{ClientId, Clients, Presence};
 use super::clock::Clock;
 use super::codec::binary::{self, ClientWord};
 use super::codec::feed::FeedLine;
@@ -65,6 +64,9 @@
 const ORDERED: Micros = 2_000 * MILLI;
 /// How long a host's word that it is full counts.
 const FULL: Micros = 15_000 * MILLI;
+/// Operators' callers at a time. Guards the descriptors, which are set apart from the clients' and the hosts'; one
+/// that has said half a line makes room for the next.
+pub const MOST_CALLERS: usize = 8;
 /// The part of the memory that queues may fill.
 const QUEUES: usize = 6;
 
@@ -204,7 +206,7 @@
         // The listeners, their connections, and those that are on their way out.
         let listeners = operator.health.agent.len() + operator.health.http.len();
         let polls = if operator.health.listens() { operator.health.connections + 4 } else { 0 };
-        let calls = if config.admin.is_some() { admin::MOST + 1 } else { 0 };
+        let calls = if config.admin.is_some() { MOST_CALLERS + 1 } else { 0 };
         let apart = listeners + polls + calls + if operator.ctl.is_some() { 6 } else { 0 };
         // What a cold host was sent is looked back on for that time, and counted by clocks that differ.
         let company = Company::new(2 * config.settings.fall.max(config.settings.connect_timeout));
--- a/src/net/dispatch/links.rs
+++ b/src/net/dispatch/links.rs
@@ -1,8 +1,8 @@
 //! The connections to hosts: which there are, what their ends mean, and the list.
 
-use super::{Dispatch, Due, MILLI, Request, STUCK, State};
+use super::{Dispatch, Due, MILLI, Request, State};
 use crate::net::codec::feed::Listed;
-use crate::net::conn::{Conn, End};
+use crate::net::conn::{Conn, End, STUCK};
 use crate::net::hosts::{self, DialError, Link, Phase, Round, Waiting};
 use anisehead::descriptors::{Answer, Rank, Want};
 use anisehead::facade::{News, Ticket};
