--- a/src/net/dispatch.rs
+++ b/src/net/dispatch.rs
@@ -7,6 +7,8 @@
 mod bounds;
 mod links;
 mod operating;
+mod requests;
+mod timers;
 
 use super::clients::{ClientId, Clients, Presence};
 use super::clock::Clock;
@@ -18,7 +20,7 @@
 use super::conn::{self, Conn, End, Unread};
 use super::health::gate::Gate;
 use super::health::watch::{Refused, Task, Watch};
-use super::hosts::{DialError, Link, Phase, Round, Waiting};
+use super::hosts::{Link, Phase, Round, Waiting};
 use super::wheel::Wheel;
 use crate::ctl;
 use crate::operator::Operator;
@@ -33,17 +35,17 @@
 use anisehead::{Detail, HostId, HostState, Micros, Outcome};
 use async_executor::LocalExecutor;
 use at_hosts::AtHosts;
+use requests::{Ended, Request, State};
 use simd_json::OwnedValue;
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::rc::{Rc, Weak};
+use timers::{Due, SWEEP};
 use tracing::{info, warn};
 
 const MILLI: Micros = 1_000;
 /// A client's time runs from when it sent: what the way here, a tick and the way back may take.
 const CLIENT_SLACK: Micros = 15 * MILLI;
-/// How often connections are looked through.
-const SWEEP: Micros = 250 * MILLI;
 /// After SIGTERM the platform ends the process no sooner than after the longest wait of a client, counted as this
 /// at the most, and 700 ms more (the protocol's figures). Of these, what is owed is answered so long after the
 /// wait, and the process ends at last so long after it.
@@ -58,8 +60,6 @@
 const LEAVING: Micros = 3_000 * MILLI;
 /// How long the list may be late to name a host at which a task is said to stand.
 const UNLISTED: Micros = 2_000 * MILLI;
-/// How long the end of a task is remembered.
-const ENDED: Micros = 10_000 * MILLI;
 /// An answer may be on its way to its client for so long.
 const ORDERED: Micros = 2_000 * MILLI;
 /// How long a host's word that it is full counts.
@@ -91,58 +91,6 @@
     }
 }
 
-/// What the wheel holds.
-enum Due {
-    Attempt(Ticket, u32),
-    Doubt(Ticket, u32),
-    /// An offer of which nothing has left yet.
-    Unsent(Ticket, u32),
-    Connect(HostId, Round),
-    Redial(HostId, Round),
-    Unreached(HostId, Micros),
-    ReadOff(HostId, Round),
-    Left(Ticket),
-    Unlisted(Ticket),
-    Sweep,
-}
-
-/// Where a request is.
-#[derive(Debug, Clone, PartialEq)]
-enum State {
-    /// With the module; an answer is owed.
-    Held,
-    /// Offered; an answer is owed.
-    Out { attempt: u32, host: HostId, since: Micros, until: Micros, round: Option<Round> },
-    /// It stands.
-    Standing { attempt: u32, host: HostId, since: Micros },
-    /// Ended from this side; the host's word on it is awaited, and its client is owed nothing.
-    Leaving { attempt: u32, host: HostId, since: Micros },
-}
-
-struct Request {
-    id: TaskId,
-    client: Option<ClientId>,
-    /// Dropped once the task stands.
-    set_up: Option<Box<SetUp>>,
-    attempts: u32,
-    state: State,
-    /// Its class, if the settings state it.
-    class: Option<usize>,
-    /// When it came, and the aim of its class.
-    since: Micros,
-    aim: Micros,
-    /// Where it was set up or named, once it stands.
-    home: Option<ClientId>,
-}
-
-/// A task that is over: its host has released it, or it was answered. Kept for a set-up with `at` that
-/// still comes, and against one that uses its id again.
-struct Ended {
-    /// The host that released it, and its cause.
-    by: Option<(HostId, u8, Detail)>,
-    since: Micros,
-}
-
 /// All requests, and the peers that they concern.
 pub struct Dispatch {
     pub(super) clock: Clock,
@@ -452,35 +400,6 @@
         news
     }
 
-    /// A request goes over into another state.
-    fn enter(&mut self, ticket: Ticket, state: State) {
-        let Some(request) = self.requests.get_mut(&ticket) else { return };
-        let before = std::mem::replace(&mut request.state, state);
-        if let Some(host) = before.at() {
-            self.at_hosts.left(ticket, host, before.stands());
-        }
-        if let Some(host) = request.state.at() {
-            self.at_hosts.came(ticket, host, request.state.stands());
-        }
-    }
-
-    fn remove(&mut self, ticket: Ticket) -> Option<Request> {
-        let request = self.requests.remove(&ticket)?;
-        if let Some(host) = request.state.at() {
-            self.at_hosts.left(ticket, host, request.state.stands());
-            self.settle(self.clock.now(), host, false);
-        }
-        if let Some(home) = request.home {
-            self.clients.count_standing(home, false);
-        }
-        if self.by_id.get(&request.id) == Some(&ticket) {
-            self.by_id.remove(&request.id);
-            let since = self.clock.now();
-            self.ended.entry(request.id).or_insert(Ended { by: None, since }).since = since;
-        }
-        Some(request)
-    }
-
     /// MOVE: the task ends, also at its host, and its client comes again.
     fn move_away(&mut self, now: Micros, ticket: Ticket) {
         let Some(request) = self.requests.get(&ticket) else { return };
@@ -645,22 +564,6 @@
         self.clients.send(now, client, &binary::heard(id));
     }
 
-    fn take(&mut self, now: Micros, id: TaskId, client: ClientId, class: &str, state: State) -> Ticket {
-        let ticket = Ticket(self.next);
-        self.next += 1;
-        self.by_id.insert(id, ticket);
-        let aim = self.facade.aim(class).unwrap_or(MILLI).max(MILLI);
-        let client = Some(client);
-        if let Some(host) = state.at() {
-            self.at_hosts.came(ticket, host, state.stands());
-        }
-        let class = self.facade.class(class);
-        let (set_up, home) = (None, None);
-        let request = Request { id, client, set_up, attempts: 0, state, class, since: now, aim, home };
-        self.requests.insert(ticket, request);
-        ticket
-    }
-
     /// Guards the module and the hosts against asks that can't be right, which are answered at once:
     /// without an id, or with that of a task that is over, a host takes its connection for broken, and
     /// answers an error that makes it look so; every ask counts as load.
@@ -1023,93 +926,6 @@
         let end = self.closing_wait() + CLOSE_END;
         now - since >= end || (now - since >= CLOSE_OPEN.min(end) && clear)
     }
-
-    /// One turn of the wheel.
-    pub fn tick(&mut self) {
-        let now = self.clock.now();
-        self.watch(now, Event::Turn);
-        self.on_duty(now, duty::Event::Look);
-        for host in std::mem::take(&mut self.clogged) {
-            self.send_waiting(now, &host);
-        }
-        for due in self.wheel.due(now) {
-            match due {
-                Due::Attempt(ticket, attempt) => {
-                    let news = self.give_up(now, ticket, Some(attempt), Outcome::Timeout);
-                    news.into_iter().for_each(|news| self.tell(now, news));
-                }
-                Due::Doubt(ticket, attempt) => self.doubt_silent(now, ticket, attempt),
-                Due::Unsent(ticket, attempt) => self.end_unsent(now, ticket, attempt),
-                Due::Connect(host, round) => {
-                    if let Some(Link { phase: Phase::Connecting(stop), round: r, .. }) = self.hosts.get(&host)
-                        && *r == round
-                    {
-                        let _ = stop.try_send(());
-                        self.dial_failed(&host, round, DialError::TimedOut);
-                    }
-                }
-                Due::Redial(host, round) => {
-                    if self.hosts.get(&host).is_some_and(|link| link.round == round) {
-                        self.redial(now, &host);
-                    }
-                }
-                Due::Unreached(host, since) => self.lose_unreached(now, &host, since),
-                Due::ReadOff(host, round) => self.end_read_off(&host, round),
-                Due::Left(ticket) => {
-                    if let Some(State::Leaving { .. }) = self.requests.get(&ticket).map(|r| &r.state) {
-                        self.end_standing(now, ticket, cause::CANCELLED, Detail::None);
-                    }
-                }
-                Due::Unlisted(ticket) => self.end_unlisted(now, ticket),
-                Due::Sweep => {
-                    self.clients.sweep(now);
-                    self.sweep_links(now);
-                    self.gate.sweep(now);
-                    self.orders.iter().for_each(|gate| gate.sweep(now));
-                    self.look(now);
-                    self.log_overload(now);
-                    self.ended.retain(|_, ended| now - ended.since < ENDED);
-                    self.wheel.add(now + SWEEP, Due::Sweep);
-                }
-            }
-        }
-        let verdicts = self.facade.tick(now);
-        self.carry_out(now, verdicts);
-    }
-}
-
-impl State {
-    /// The host that it is at: where its offer is out, it stands, or it leaves.
-    fn at(&self) -> Option<&HostId> {
-        match self {
-            State::Held => None,
-            State::Out { host, .. } | State::Standing { host, .. } | State::Leaving { host, .. } => {
-                Some(host)
-            }
-        }
-    }
-
-    /// Whether it stands there, or leaves.
-    fn stands(&self) -> bool {
-        matches!(self, State::Standing { .. } | State::Leaving { .. })
-    }
-
-    /// Whether its offer has not left.
-    fn unsent(&self) -> bool {
-        matches!(self, State::Out { round: None, .. })
-    }
-
-    /// The connection that its offer is out on.
-    fn out_on(&self) -> Option<Round> {
-        if let State::Out { round, .. } = self { *round } else { None }
-    }
-}
-
-impl Request {
-    /// Whether its client waits for an answer.
-    fn owes(&self) -> bool {
-        matches!(self.state, State::Held | State::Out { .. })
-    }
 }
 
 fn offer_line(id: TaskId, set_up: &SetUp, left: Micros) -> Option<Vec<u8>> {
--- a/src/net/dispatch/links.rs
+++ b/src/net/dispatch/links.rs
@@ -1,6 +1,8 @@
 //! The connections to hosts: which there are, what their ends mean, and the list.
 
-use super::{Dispatch, Due, MILLI, Request, State};
+use super::requests::{Request, State};
+use super::timers::Due;
+use super::{Dispatch, MILLI};
 use crate::net::codec::feed::Listed;
 use crate::net::conn::{Conn, End, STUCK};
 use crate::net::hosts::{self, DialError, Link, Phase, Round, Waiting};
--- a/src/net/dispatch/operating.rs
+++ b/src/net/dispatch/operating.rs
@@ -1,6 +1,7 @@
 //! What operators ask of this process: whether it serves, what it has in hand, and to be emptied.
 
-use super::{Dispatch, Request};
+use super::Dispatch;
+use super::requests::Request;
 use crate::net::health::watch::Watch;
 use anisehead::Micros;
 use anisehead::operation::duty::{Effect, Event};
