Verdicts, offers and answers stand in modules of their own

Change: tell and carry_out move to dispatch/verdicts.rs, the life of an attempt to dispatch/offers.rs, answer to dispatch/answers.rs. Code moved unchanged but for visibility. No change of behaviour.

--- a/src/net/dispatch.rs
+++ b/src/net/dispatch.rs
@@ -3,29 +3,32 @@
 //! Everything that happens on a socket or the wheel ends here, is told to the facade, and comes back
 //! as verdicts. This is the only place that sends a final answer.
 
+mod answers;
 mod at_hosts;
 mod bounds;
 mod links;
+mod offers;
 mod operating;
 mod requests;
 mod timers;
+mod verdicts;
 
-use super::clients::{ClientId, Clients, Presence};
+use super::clients::{ClientId, Clients};
 use super::clock::Clock;
 use super::codec::binary::{self, ClientWord};
 use super::codec::feed::FeedLine;
 use super::codec::lines::{self, HostWord};
 use super::codec::{Malformed, SetUp, TaskId, cause};
 use super::config::{Config, Limits};
-use super::conn::{self, Conn, End, Unread};
+use super::conn::{self, Conn, End};
 use super::health::gate::Gate;
 use super::health::watch::{Refused, Task, Watch};
-use super::hosts::{Link, Phase, Round, Waiting};
+use super::hosts::{Link, Phase, Round};
 use super::wheel::Wheel;
 use crate::ctl;
 use crate::operator::Operator;
 use anisehead::descriptors::Pool;
-use anisehead::facade::{Facade, News, Ticket, Unfit, Verdict};
+use anisehead::facade::{Facade, News, Ticket, Unfit};
 use anisehead::health::drain::Hand;
 use anisehead::health::{Event, Gauges, Zone};
 use anisehead::operation::company::Company;
@@ -35,10 +38,11 @@
 use anisehead::{Detail, HostId, HostState, Micros, Outcome};
 use async_executor::LocalExecutor;
 use at_hosts::AtHosts;
+use offers::offer_line;
 use requests::{Ended, Request, State};
 use simd_json::OwnedValue;
 use std::cell::RefCell;
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::{Rc, Weak};
 use timers::{Due, SWEEP};
 use tracing::{info, warn};
@@ -54,8 +58,6 @@
 const CLOSE_END: Micros = 500 * MILLI;
 /// New work may still arrive for 0.6 s (the protocol's figure): with this the process does not end before.
 const CLOSE_OPEN: Micros = 1_000 * MILLI;
-/// How long an offer may be out on a connection on which nothing is heard.
-const DOUBT: Micros = 1_000 * MILLI;
 /// How long a host may take to confirm a release.
 const LEAVING: Micros = 3_000 * MILLI;
 /// How long the list may be late to name a host at which a task is said to stand.
@@ -247,159 +249,6 @@
 
     // ---- Verdicts ----
 
-    fn tell(&mut self, now: Micros, news: News) {
-        let verdicts = self.facade.report(now, news);
-        self.carry_out(now, verdicts);
-    }
-
-    /// Carries out verdicts, and those that their instant results bring.
-    fn carry_out(&mut self, now: Micros, verdicts: Vec<Verdict>) {
-        let mut queue = VecDeque::from(verdicts);
-        while let Some(verdict) = queue.pop_front() {
-            let news = match verdict {
-                Verdict::Offer { ticket, host, timeout } => self.offer(now, ticket, host, timeout),
-                Verdict::Refuse { ticket, retry_after } => {
-                    let away = u64::try_from(retry_after / MILLI).ok().filter(|ms| *ms > 0);
-                    self.answer(now, ticket, cause::REFUSED, away)
-                }
-                Verdict::Fail { ticket } => self.answer(now, ticket, cause::FAILED, None),
-                Verdict::Move { ticket } => {
-                    self.move_away(now, ticket);
-                    None
-                }
-                Verdict::GiveUp { ticket, attempt } => {
-                    self.give_up(now, ticket, Some(attempt), Outcome::Cancelled)
-                }
-                Verdict::Note(text) => {
-                    info!(text, "module");
-                    None
-                }
-            };
-            if let Some(news) = news {
-                queue.extend(self.facade.report(now, news));
-            }
-        }
-    }
-
-    /// Sends an offer, or lets it wait: for the connection, which may itself wait for a descriptor, for what is
-    /// queued on it, or for what its client says.
-    fn offer(&mut self, now: Micros, ticket: Ticket, host: HostId, timeout: Micros) -> Option<News> {
-        let request = self.requests.get_mut(&ticket)?;
-        let attempt = request.attempts;
-        request.attempts += 1;
-        let until = now.saturating_add(timeout);
-        self.enter(ticket, State::Out { attempt, host: host.clone(), since: now, until, round: None });
-        self.wheel.add(until, Due::Attempt(ticket, attempt));
-        let link = self.hosts.get_mut(&host).filter(|link| link.dial.is_some());
-        let Some(link) = link else { return self.end_attempt(now, ticket, Outcome::Moot, Detail::None) };
-        link.waiting.push(Waiting { ticket, attempt, mark: None });
-        match link.phase {
-            Phase::Up(_) => self.send_waiting(now, &host),
-            Phase::Connecting(_) => {}
-            Phase::Down => self.call(now, &host),
-        }
-        if self.requests.get(&ticket).is_some_and(|request| request.state.unsent()) {
-            self.wheel.add(now + self.connect_timeout, Due::Unsent(ticket, attempt));
-        }
-        None
-    }
-
-    /// Sends the offers that wait for a connection which is now up. Guards against a connection that dies
-    /// under the write, or that its host has closed: an offer of which nothing has left waits for the next one.
-    /// Guards also against an attempt that begins when its client has gone: nothing is queued behind what the
-    /// host has not taken, where it can't be taken back, and each client is looked at before its offer leaves.
-    pub(super) fn send_waiting(&mut self, now: Micros, host: &HostId) {
-        let Some(link) = self.hosts.get_mut(host) else { return };
-        let Phase::Up(conn) = &link.phase else { return };
-        if conn.unread() == Unread::End {
-            return conn.stop(End::Closed);
-        }
-        let mut left = Vec::new();
-        for Waiting { ticket, attempt, mark } in std::mem::take(&mut link.waiting) {
-            let Some(request) = self.requests.get_mut(&ticket) else { continue };
-            let State::Out { attempt: n, round: round @ None, until, .. } = &mut request.state else {
-                continue;
-            };
-            let (true, Some(set_up), Some(client)) = (*n == attempt, &request.set_up, request.client) else {
-                continue;
-            };
-            let mark = match self.clients.presence(client, mark, host) {
-                Presence::Left => {
-                    left.push(ticket);
-                    continue;
-                }
-                Presence::Unread(mark) => mark,
-                Presence::Here if !conn.flushed() => {
-                    self.clogged.insert(host.clone());
-                    None
-                }
-                Presence::Here => {
-                    let Some(line) = offer_line(request.id, set_up, *until - now) else { continue };
-                    if conn.send(now, &line) {
-                        self.tally.offered(request.class);
-                        *round = Some(link.round);
-                        self.wheel.add(now + DOUBT, Due::Doubt(ticket, attempt));
-                        continue;
-                    }
-                    None
-                }
-            };
-            link.waiting.push(Waiting { ticket, attempt, mark });
-        }
-        self.settle(now, host, true);
-        for ticket in left {
-            self.gone(now, ticket);
-        }
-    }
-
-    /// An attempt that is out has ended: the request is the module's again.
-    fn end_attempt(&mut self, now: Micros, ticket: Ticket, outcome: Outcome, detail: Detail) -> Option<News> {
-        let request = self.requests.get_mut(&ticket)?;
-        let State::Out { attempt, host, since, .. } = &request.state else { return None };
-        let (attempt, host, elapsed) = (*attempt, host.clone(), now - since);
-        let aim = request.aim;
-        self.enter(ticket, State::Held);
-        self.settle(now, &host, false);
-        let stretch = elapsed as f64 / aim as f64;
-        // What its client gave up tells nothing of the host.
-        if outcome != Outcome::Cancelled {
-            self.watch(now, Event::Offer { outcome, detail, stretch });
-        }
-        Some(News::Ended { ticket, attempt, host, outcome, detail, elapsed })
-    }
-
-    /// Stops waiting for an attempt and tells its host so: two attempts are never out at once.
-    fn give_up(&mut self, now: Micros, ticket: Ticket, only: Option<u32>, why: Outcome) -> Option<News> {
-        let request = self.requests.get(&ticket)?;
-        let State::Out { attempt, host, round, .. } = &request.state else { return None };
-        if only.is_some_and(|n| n != *attempt) {
-            return None;
-        }
-        let link = self.hosts.get(host);
-        if let Some(conn) = round.and_then(|round| link.and_then(|link| link.open(round))) {
-            conn.send(now, &lines::release(request.id, cause::NORMAL));
-        }
-        // What has not left its queue never ran.
-        let why = if round.is_none() && why == Outcome::Timeout { Outcome::ConnectFailed } else { why };
-        self.end_attempt(now, ticket, why, Detail::None)
-    }
-
-    /// The final answer: the only place that gives a refusal or a failure.
-    fn answer(&mut self, now: Micros, ticket: Ticket, cause: u8, away: Option<u64>) -> Option<News> {
-        let news = self.give_up(now, ticket, None, Outcome::Cancelled);
-        if self.requests.get(&ticket).is_some_and(|r| r.state == State::Held) {
-            self.watch(now, Event::Answered { in_aim: false });
-            let request = self.remove(ticket)?;
-            if let Some(client) = request.client {
-                let how = if cause == cause::REFUSED { Told::Refused } else { Told::Failed };
-                self.tally.ended(request.class, how);
-                self.clients.send(now, client, &binary::release(request.id, cause, away));
-                self.clients.settled(client, ticket);
-            }
-        }
-        news
-    }
-
     /// MOVE: the task ends, also at its host, and its client comes again.
     fn move_away(&mut self, now: Micros, ticket: Ticket) {
         let Some(request) = self.requests.get(&ticket) else { return };
@@ -927,7 +776,3 @@
         now - since >= end || (now - since >= CLOSE_OPEN.min(end) && clear)
     }
 }
-
-fn offer_line(id: TaskId, set_up: &SetUp, left: Micros) -> Option<Vec<u8>> {
-    lines::offer(id, &set_up.ask.class, &set_up.key, (left / MILLI).max(1), &set_up.description)
-}
--- /dev/null
+++ b/src/net/dispatch/offers.rs
@@ -0,0 +1,146 @@
+//! Owns the attempts: an offer from the moment it is decided until the attempt has ended. Every offer leaves by
+//! `send_waiting`, which makes sure that its client is still there; two attempts of one request are never out at once,
+//! since `give_up` writes to the old host before the module hears of it. It never chooses a host, and never answers a
+//! client.
+
+use super::requests::State;
+use super::timers::Due;
+use super::{Dispatch, MILLI};
+use crate::net::clients::Presence;
+use crate::net::codec::{SetUp, TaskId, cause, lines};
+use crate::net::conn::{End, Unread};
+use crate::net::hosts::{Phase, Waiting};
+use anisehead::facade::{News, Ticket};
+use anisehead::health::Event;
+use anisehead::{Detail, HostId, Micros, Outcome};
+
+/// How long an offer may be out on a connection on which nothing is heard.
+const DOUBT: Micros = 1_000 * MILLI;
+
+impl Dispatch {
+    /// Sends an offer, or lets it wait: for the connection, which may itself wait for a descriptor, for what is
+    /// queued on it, or for what its client says.
+    pub(super) fn offer(
+        &mut self,
+        now: Micros,
+        ticket: Ticket,
+        host: HostId,
+        timeout: Micros,
+    ) -> Option<News> {
+        let request = self.requests.get_mut(&ticket)?;
+        let attempt = request.attempts;
+        request.attempts += 1;
+        let until = now.saturating_add(timeout);
+        self.enter(ticket, State::Out { attempt, host: host.clone(), since: now, until, round: None });
+        self.wheel.add(until, Due::Attempt(ticket, attempt));
+        let link = self.hosts.get_mut(&host).filter(|link| link.dial.is_some());
+        let Some(link) = link else { return self.end_attempt(now, ticket, Outcome::Moot, Detail::None) };
+        link.waiting.push(Waiting { ticket, attempt, mark: None });
+        match link.phase {
+            Phase::Up(_) => self.send_waiting(now, &host),
+            Phase::Connecting(_) => {}
+            Phase::Down => self.call(now, &host),
+        }
+        if self.requests.get(&ticket).is_some_and(|request| request.state.unsent()) {
+            self.wheel.add(now + self.connect_timeout, Due::Unsent(ticket, attempt));
+        }
+        None
+    }
+
+    /// Sends the offers that wait for a connection which is now up. Guards against a connection that dies
+    /// under the write, or that its host has closed: an offer of which nothing has left waits for the next one.
+    /// Guards also against an attempt that begins when its client has gone: nothing is queued behind what the
+    /// host has not taken, where it can't be taken back, and each client is looked at before its offer leaves.
+    pub(super) fn send_waiting(&mut self, now: Micros, host: &HostId) {
+        let Some(link) = self.hosts.get_mut(host) else { return };
+        let Phase::Up(conn) = &link.phase else { return };
+        if conn.unread() == Unread::End {
+            return conn.stop(End::Closed);
+        }
+        let mut left = Vec::new();
+        for Waiting { ticket, attempt, mark } in std::mem::take(&mut link.waiting) {
+            let Some(request) = self.requests.get_mut(&ticket) else { continue };
+            let State::Out { attempt: n, round: round @ None, until, .. } = &mut request.state else {
+                continue;
+            };
+            let (true, Some(set_up), Some(client)) = (*n == attempt, &request.set_up, request.client) else {
+                continue;
+            };
+            let mark = match self.clients.presence(client, mark, host) {
+                Presence::Left => {
+                    left.push(ticket);
+                    continue;
+                }
+                Presence::Unread(mark) => mark,
+                Presence::Here if !conn.flushed() => {
+                    self.clogged.insert(host.clone());
+                    None
+                }
+                Presence::Here => {
+                    let Some(line) = offer_line(request.id, set_up, *until - now) else { continue };
+                    if conn.send(now, &line) {
+                        self.tally.offered(request.class);
+                        *round = Some(link.round);
+                        self.wheel.add(now + DOUBT, Due::Doubt(ticket, attempt));
+                        continue;
+                    }
+                    None
+                }
+            };
+            link.waiting.push(Waiting { ticket, attempt, mark });
+        }
+        self.settle(now, host, true);
+        for ticket in left {
+            self.gone(now, ticket);
+        }
+    }
+
+    /// An attempt that is out has ended: the request is the module's again.
+    pub(super) fn end_attempt(
+        &mut self,
+        now: Micros,
+        ticket: Ticket,
+        outcome: Outcome,
+        detail: Detail,
+    ) -> Option<News> {
+        let request = self.requests.get_mut(&ticket)?;
+        let State::Out { attempt, host, since, .. } = &request.state else { return None };
+        let (attempt, host, elapsed) = (*attempt, host.clone(), now - since);
+        let aim = request.aim;
+        self.enter(ticket, State::Held);
+        self.settle(now, &host, false);
+        let stretch = elapsed as f64 / aim as f64;
+        // What its client gave up tells nothing of the host.
+        if outcome != Outcome::Cancelled {
+            self.watch(now, Event::Offer { outcome, detail, stretch });
+        }
+        Some(News::Ended { ticket, attempt, host, outcome, detail, elapsed })
+    }
+
+    /// Stops waiting for an attempt and tells its host so: two attempts are never out at once.
+    pub(super) fn give_up(
+        &mut self,
+        now: Micros,
+        ticket: Ticket,
+        only: Option<u32>,
+        why: Outcome,
+    ) -> Option<News> {
+        let request = self.requests.get(&ticket)?;
+        let State::Out { attempt, host, round, .. } = &request.state else { return None };
+        if only.is_some_and(|n| n != *attempt) {
+            return None;
+        }
+        let link = self.hosts.get(host);
+        if let Some(conn) = round.and_then(|round| link.and_then(|link| link.open(round))) {
+            conn.send(now, &lines::release(request.id, cause::NORMAL));
+        }
+        // What has not left its queue never ran.
+        let why = if round.is_none() && why == Outcome::Timeout { Outcome::ConnectFailed } else { why };
+        self.end_attempt(now, ticket, why, Detail::None)
+    }
+}
+
+/// The line that offers a task to a host, if it can be one.
+pub(super) fn offer_line(id: TaskId, set_up: &SetUp, left: Micros) -> Option<Vec<u8>> {
+    lines::offer(id, &set_up.ask.class, &set_up.key, (left / MILLI).max(1), &set_up.description)
+}
--- /dev/null
+++ b/src/net/dispatch/verdicts.rs
@@ -0,0 +1,46 @@
+//! Owns the way to the decision module and back: news go in by `tell`, and each verdict that comes out is handed to the
+//! function that carries it out. It never decides anything itself, and never writes to a peer.
+
+use super::{Dispatch, MILLI};
+use crate::net::codec::cause;
+use anisehead::facade::{News, Verdict};
+use anisehead::{Micros, Outcome};
+use std::collections::VecDeque;
+use tracing::info;
+
+impl Dispatch {
+    /// Tells the module what has happened, and carries out what it decides.
+    pub(super) fn tell(&mut self, now: Micros, news: News) {
+        let verdicts = self.facade.report(now, news);
+        self.carry_out(now, verdicts);
+    }
+
+    /// Carries out verdicts, and those that their instant results bring.
+    pub(super) fn carry_out(&mut self, now: Micros, verdicts: Vec<Verdict>) {
+        let mut queue = VecDeque::from(verdicts);
+        while let Some(verdict) = queue.pop_front() {
+            let news = match verdict {
+                Verdict::Offer { ticket, host, timeout } => self.offer(now, ticket, host, timeout),
+                Verdict::Refuse { ticket, retry_after } => {
+                    let away = u64::try_from(retry_after / MILLI).ok().filter(|ms| *ms > 0);
+                    self.answer(now, ticket, cause::REFUSED, away)
+                }
+                Verdict::Fail { ticket } => self.answer(now, ticket, cause::FAILED, None),
+                Verdict::Move { ticket } => {
+                    self.move_away(now, ticket);
+                    None
+                }
+                Verdict::GiveUp { ticket, attempt } => {
+                    self.give_up(now, ticket, Some(attempt), Outcome::Cancelled)
+                }
+                Verdict::Note(text) => {
+                    info!(text, "module");
+                    None
+                }
+            };
+            if let Some(news) = news {
+                queue.extend(self.facade.report(now, news));
+            }
+        }
+    }
+}
