Messages of clients and hosts, and tasks that stand, in modules of their own

Change: what clients say moves to dispatch/client_messages.rs, what hosts say to dispatch/host_messages.rs, tasks that stand and their ends to dispatch/standing.rs. Code moved unchanged but for visibility. No change of behaviour.

--- a/src/net/dispatch.rs
+++ b/src/net/dispatch.rs
@@ -6,39 +6,39 @@
 mod answers;
 mod at_hosts;
 mod bounds;
+mod client_messages;
+mod host_messages;
 mod links;
 mod offers;
 mod operating;
 mod requests;
+mod standing;
 mod timers;
 mod verdicts;
 
-use super::clients::{ClientId, Clients};
+use super::clients::Clients;
 use super::clock::Clock;
-use super::codec::binary::{self, ClientWord};
 use super::codec::feed::FeedLine;
-use super::codec::lines::{self, HostWord};
-use super::codec::{Malformed, SetUp, TaskId, cause};
+use super::codec::{Malformed, TaskId};
 use super::config::{Config, Limits};
-use super::conn::{self, Conn, End};
+use super::conn::{self, End};
 use super::health::gate::Gate;
 use super::health::watch::{Refused, Task, Watch};
-use super::hosts::{Link, Phase, Round};
+use super::hosts::{Link, Round};
 use super::wheel::Wheel;
 use crate::ctl;
 use crate::operator::Operator;
 use anisehead::descriptors::Pool;
-use anisehead::facade::{Facade, News, Ticket, Unfit};
+use anisehead::facade::{Facade, News, Ticket};
 use anisehead::health::drain::Hand;
 use anisehead::health::{Event, Gauges, Zone};
 use anisehead::operation::company::Company;
 use anisehead::operation::duty::{self, Duty};
-use anisehead::operation::tally::{Ended as Told, Tally};
+use anisehead::operation::tally::Tally;
 use anisehead::settings::Names;
-use anisehead::{Detail, HostId, HostState, Micros, Outcome};
+use anisehead::{HostId, HostState, Micros};
 use async_executor::LocalExecutor;
 use at_hosts::AtHosts;
-use offers::offer_line;
 use requests::{Ended, Request, State};
 use simd_json::OwnedValue;
 use std::cell::RefCell;
@@ -48,8 +48,6 @@
 use tracing::{info, warn};
 
 const MILLI: Micros = 1_000;
-/// A client's time runs from when it sent: what the way here, a tick and the way back may take.
-const CLIENT_SLACK: Micros = 15 * MILLI;
 /// After SIGTERM the platform ends the process no sooner than after the longest wait of a client, counted as this
 /// at the most, and 700 ms more (the protocol's figures). Of these, what is owed is answered so long after the
 /// wait, and the process ends at last so long after it.
@@ -58,12 +56,6 @@
 const CLOSE_END: Micros = 500 * MILLI;
 /// New work may still arrive for 0.6 s (the protocol's figure): with this the process does not end before.
 const CLOSE_OPEN: Micros = 1_000 * MILLI;
-/// How long a host may take to confirm a release.
-const LEAVING: Micros = 3_000 * MILLI;
-/// How long the list may be late to name a host at which a task is said to stand.
-const UNLISTED: Micros = 2_000 * MILLI;
-/// An answer may be on its way to its client for so long.
-const ORDERED: Micros = 2_000 * MILLI;
 /// How long a host's word that it is full counts.
 const FULL: Micros = 15_000 * MILLI;
 /// Operators' callers at a time. Guards the descriptors, which are set apart from the clients' and the hosts'; one
@@ -247,369 +239,6 @@
         }
     }
 
-    // ---- Verdicts ----
-
-    /// MOVE: the task ends, also at its host, and its client comes again.
-    fn move_away(&mut self, now: Micros, ticket: Ticket) {
-        let Some(request) = self.requests.get(&ticket) else { return };
-        if let State::Standing { since, .. } = request.state {
-            let (id, home) = (request.id, request.home);
-            self.tell_end(now, id, home, since, binary::moved(id));
-            self.leave(now, ticket, cause::CANCELLED);
-        }
-    }
-
-    /// Tells that a task which stood since then is over, or moves: in order with its answer, where that went
-    /// out only just now.
-    fn tell_end(&mut self, now: Micros, id: TaskId, home: Option<ClientId>, since: Micros, word: Vec<u8>) {
-        match home {
-            Some(client) if now - since < ORDERED => self.clients.send_after(now, client, id, word),
-            _ => self.clients.send_any(now, id, word),
-        }
-    }
-
-    /// Releases a task that stands at its host, on any connection, or on the next to open.
-    fn leave(&mut self, now: Micros, ticket: Ticket, cause: u8) {
-        let Some(request) = self.requests.get_mut(&ticket) else { return };
-        let State::Standing { attempt, host, since } = &request.state else { return };
-        let line = lines::release(request.id, cause);
-        let host = host.clone();
-        let state = State::Leaving { attempt: *attempt, host: host.clone(), since: *since };
-        let mut sent = true;
-        if let Some(link) = self.hosts.get_mut(&host) {
-            sent = matches!(&link.phase, Phase::Up(conn) if conn.send(now, &line));
-            if !sent {
-                link.unsent.push(line);
-            }
-        }
-        self.enter(ticket, state);
-        self.wheel.add(now + LEAVING, Due::Left(ticket));
-        if !sent {
-            self.call(now, &host);
-        }
-    }
-
-    /// Guards against tasks named at hosts that no list knows: they would stand for ever.
-    fn end_unlisted(&mut self, now: Micros, ticket: Ticket) {
-        let Some(request) = self.requests.get(&ticket) else { return };
-        let State::Standing { attempt, host, since } = &request.state else { return };
-        if self.hosts.contains_key(host) {
-            return;
-        }
-        let (attempt, host, elapsed, outcome) = (*attempt, host.clone(), now - since, Outcome::Reset);
-        info!(task = %request.id, reason = "no-such-host", host = &*host.0, "does not stand");
-        if let Some(client) = request.client {
-            self.clients.send(now, client, &binary::release(request.id, cause::RESET, None));
-        }
-        self.remove(ticket);
-        self.tell(now, News::Ended { ticket, attempt, host, outcome, detail: Detail::None, elapsed });
-    }
-
-    /// What stood is over: its client is told, unless it ended the task itself.
-    fn end_standing(&mut self, now: Micros, ticket: Ticket, cause: u8, detail: Detail) {
-        let Some(request) = self.remove(ticket) else { return };
-        let (attempt, host, since, outcome) = match request.state {
-            State::Standing { attempt, host, since } => {
-                let word = binary::release(request.id, cause, None);
-                self.tell_end(now, request.id, request.home, since, word);
-                let outcome = match cause {
-                    cause::NORMAL => Outcome::Ok,
-                    cause::CANCELLED => Outcome::Cancelled,
-                    _ => Outcome::Reset,
-                };
-                (attempt, host, since, outcome)
-            }
-            State::Leaving { attempt, host, since } => (attempt, host, since, Outcome::Cancelled),
-            State::Held | State::Out { .. } => return,
-        };
-        self.tell(now, News::Ended { ticket, attempt, host, outcome, detail, elapsed: now - since });
-    }
-
-    // ---- Clients ----
-
-    /// Whether another connection of a client is beyond the budget.
-    pub fn client_crowds(&self) -> bool {
-        self.clients.crowded(self.hosts_in_use())
-    }
-
-    /// A connection from a client is there.
-    pub fn client_opened(&mut self, conn: Rc<Conn>) -> ClientId {
-        self.clients.opened(self.clock.now(), conn)
-    }
-
-    /// It has ended, and with it the set-ups that are open on it.
-    pub fn client_ended(&mut self, client: ClientId, end: End) {
-        let now = self.clock.now();
-        let open = self.clients.ended(now, client);
-        info!(peer = "client", connection = %client, reason = %end, open = open.len(), "connection ended");
-        for ticket in open {
-            self.gone(now, ticket);
-        }
-    }
-
-    /// The client wants no answer any more.
-    fn gone(&mut self, now: Micros, ticket: Ticket) {
-        let news = self.give_up(now, ticket, None, Outcome::Cancelled);
-        if let Some(client) = self.remove(ticket).and_then(|r| r.client) {
-            self.clients.settled(client, ticket);
-        }
-        self.tell(now, News::GivenUp(ticket));
-        if let Some(news) = news {
-            self.tell(now, news);
-        }
-    }
-
-    /// All that came with one read, so many bytes, was taken in: whether whole messages did, and half of another.
-    pub fn client_heard(&mut self, client: ClientId, bytes: usize, whole: bool, half: bool) {
-        let now = self.clock.now();
-        self.clients.heard(now, client, whole, half);
-        for host in self.clients.read(client, bytes) {
-            self.send_waiting(now, &host);
-        }
-    }
-
-    /// A message of a client. Each is answered, or ends its connection, or asks for nothing: whoever
-    /// sends what is no use is not left waiting.
-    pub fn client_word(&mut self, client: ClientId, id: TaskId, word: ClientWord) {
-        let now = self.clock.now();
-        self.clients.heard(now, client, true, false);
-        self.clients.reads(client);
-        if !matches!(word, ClientWord::Test) {
-            self.clients.asked(now, client);
-        }
-        let held = self.by_id.get(&id).copied();
-        match word {
-            ClientWord::SetUp(set_up) => match (&set_up.at, held) {
-                (Some(host), None) => self.adopt(now, client, id, &set_up, &host.clone()),
-                (None, None) => self.set_up(now, client, id, set_up),
-                (_, Some(ticket)) => self.set_up_again(client, ticket, &set_up),
-            },
-            ClientWord::BadSetUp(why) if held.is_none() => {
-                info!(task = %id, reason = %why, "set-up not read");
-                self.clients.send(now, client, &binary::release(id, cause::FAILED, None));
-            }
-            // A failure under this id could be taken for the answer to the one that is open.
-            ClientWord::BadSetUp(_) => self.clients.stop(client, End::IdInUse),
-            ClientWord::Release(cause) => self.client_release(now, client, id, cause, held),
-            ClientWord::Test => {
-                let passes = self.placer_serves();
-                self.clients.send(now, client, &binary::tested(id, passes));
-                self.on_duty(now, duty::Event::Asked);
-            }
-            ClientWord::Heard => self.clients.heard_end(id),
-            ClientWord::Other => self.clients.stop(client, End::Malformed(Malformed::Field("type"))),
-        }
-    }
-
-    /// A client gives a set-up up, on its connection, or ends a task that stands, on any.
-    fn client_release(&mut self, now: Micros, client: ClientId, id: TaskId, cause: u8, held: Option<Ticket>) {
-        let open = held.and_then(|ticket| self.requests.get(&ticket)).filter(|r| r.owes());
-        match (held, open.map(|r| r.client == Some(client))) {
-            (Some(ticket), Some(true)) => return self.gone(now, ticket),
-            (Some(ticket), None) => self.leave(now, ticket, cause),
-            // Of no task here, or of another's set-up: it changes nothing.
-            _ => {}
-        }
-        self.clients.send(now, client, &binary::heard(id));
-    }
-
-    /// Guards the module and the hosts against asks that can't be right, which are answered at once:
-    /// without an id, or with that of a task that is over, a host takes its connection for broken, and
-    /// answers an error that makes it look so; every ask counts as load.
-    fn set_up(&mut self, now: Micros, client: ClientId, id: TaskId, set_up: Box<SetUp>) {
-        let mut ask = set_up.ask.clone();
-        ask.budget = (set_up.wait - CLIENT_SLACK).max(0);
-        let unfit = match self.facade.check(&ask, false) {
-            Err(Unfit(why)) => Some(why),
-            Ok(()) if id == TaskId(0) => Some("no id"),
-            Ok(()) if self.ended.contains_key(&id) => Some("id used before"),
-            Ok(()) if offer_line(id, &set_up, set_up.wait).is_none() => Some("too long for a host"),
-            Ok(()) => None,
-        };
-        if let Some(why) = unfit {
-            info!(task = %id, reason = why, "not placed");
-            self.tally.ended(self.facade.class(&ask.class), Told::Failed);
-            return self.clients.send(now, client, &binary::release(id, cause::FAILED, None));
-        }
-        let ticket = self.take(now, id, client, &ask.class, State::Held);
-        self.clients.waits(client, ticket);
-        if let Some(request) = self.requests.get_mut(&ticket) {
-            request.set_up = Some(set_up);
-        }
-        let verdicts = self.facade.pick(now, ticket, &ask).unwrap_or_default();
-        self.carry_out(now, verdicts);
-    }
-
-    /// A set-up under an id that is in hand. Guards against a client that sends again because its first
-    /// connection broke, before the break is seen here: a second answer would break a rule, so the one
-    /// that is owed goes to the connection heard last. Guards also against whoever sends another set-up
-    /// under an id that is open, or the same twice on one connection: its connection ends, and an answer
-    /// that another is owed does not go there.
-    fn set_up_again(&mut self, client: ClientId, ticket: Ticket, set_up: &SetUp) {
-        let Some(request) = self.requests.get_mut(&ticket) else { return };
-        let known = matches!((&request.state, &set_up.at),
-            (State::Standing { host, .. } | State::Leaving { host, .. }, Some(at)) if host == at);
-        if known {
-            return;
-        }
-        let same = request.set_up.as_deref() == Some(set_up) && request.client != Some(client);
-        if !same {
-            return self.clients.stop(client, End::IdInUse);
-        }
-        if let Some(before) = request.client.replace(client) {
-            self.clients.settled(before, ticket);
-        }
-        self.clients.waits(client, ticket);
-        if let (true, Some(host)) = (request.state.unsent(), request.state.at()) {
-            self.clients.waits_behind(client, host);
-        }
-        let id = request.id;
-        info!(task = %id, "set up twice");
-    }
-
-    /// A task that a host holds already. Its release may have come first. The list may be late to name
-    /// its host: it gets a while for that.
-    fn adopt(&mut self, now: Micros, client: ClientId, id: TaskId, set_up: &SetUp, host: &HostId) {
-        let unfit = match self.facade.check(&set_up.ask, true) {
-            Err(Unfit(why)) => Some(why),
-            Ok(()) if id == TaskId(0) => Some("no id"),
-            Ok(()) => None,
-        };
-        // Guards against a release that came on our new connection before the client told of the task.
-        let over = match self.ended.get(&id) {
-            Some(Ended { by: Some((by, cause, _)), .. }) if by == host => Some(*cause),
-            _ if self.hosts.get(host).is_some_and(|l| l.state == HostState::Gone) => Some(cause::RESET),
-            _ => None,
-        };
-        if let Some(cause) = over.or(unfit.map(|_| cause::RESET)) {
-            info!(task = %id, reason = unfit.unwrap_or("released"), host = &*host.0, "does not stand");
-            return self.clients.send(now, client, &binary::release(id, cause, None));
-        }
-        let state = State::Standing { attempt: 0, host: host.clone(), since: now };
-        let ticket = self.take(now, id, client, &set_up.ask.class, state);
-        self.stands_for(ticket, client);
-        if self.hosts.contains_key(host) {
-            self.clients.prove(client);
-            self.settle(now, host, false);
-            self.call(now, host);
-        } else {
-            self.wheel.add(now + UNLISTED, Due::Unlisted(ticket));
-        }
-        let verdicts = self.facade.adopt(now, ticket, &set_up.ask, host).unwrap_or_default();
-        self.carry_out(now, verdicts);
-    }
-
-    /// A task stands that was set up or named on this connection.
-    fn stands_for(&mut self, ticket: Ticket, client: ClientId) {
-        if let Some(request) = self.requests.get_mut(&ticket) {
-            request.home = Some(client);
-            self.clients.count_standing(client, true);
-        }
-    }
-
-    // ---- Hosts ----
-
-    /// What stood at a host since before then is lost.
-    fn lose(&mut self, now: Micros, host: &HostId, before: Micros) {
-        let there = |ticket: &Ticket| {
-            self.requests.get(ticket).is_some_and(|r| match r.state {
-                State::Standing { since, .. } | State::Leaving { since, .. } => since < before,
-                State::Held | State::Out { .. } => false,
-            })
-        };
-        let lost: Vec<Ticket> = self.at_hosts.standing(host).filter(there).collect();
-        if !lost.is_empty() {
-            info!(host = &*host.0, tasks = lost.len(), "tasks lost");
-        }
-        lost.into_iter().for_each(|ticket| self.end_standing(now, ticket, cause::RESET, Detail::None));
-    }
-
-    /// A message of a host. It counts only for the attempt that is out there or the task that stands
-    /// there: a late word on an attempt given up is never passed on.
-    pub fn host_word(&mut self, host: &HostId, id: TaskId, word: HostWord) {
-        let now = self.clock.now();
-        if let Some(link) = self.hosts.get_mut(host) {
-            (link.heard, link.doubt) = (now, false);
-        }
-        let ticket = self.by_id.get(&id).copied();
-        let known = ticket.and_then(|ticket| Some((ticket, self.requests.get_mut(&ticket)?)));
-        let Some((ticket, request)) = known else {
-            if let HostWord::Down(cause, detail) = word {
-                self.heard(now, host, id);
-                self.ended.insert(id, Ended { by: Some((host.clone(), cause, detail)), since: now });
-            }
-            return;
-        };
-        match (&request.state, word) {
-            (State::Out { attempt, host: h, since, .. }, HostWord::Up(description)) if h == host => {
-                let (attempt, elapsed) = (*attempt, now - since);
-                request.set_up = None;
-                let (stretch, in_aim) =
-                    (elapsed as f64 / request.aim as f64, now - request.since <= request.aim);
-                let (client, class) = (request.client.take(), request.class);
-                self.enter(ticket, State::Standing { attempt, host: host.clone(), since: now });
-                self.settle(now, host, true);
-                if let Some(client) = client {
-                    self.tally.ended(class, Told::Served);
-                    self.clients.send(now, client, &binary::answer(id, &description));
-                    self.clients.settled(client, ticket);
-                    self.clients.prove(client);
-                    self.stands_for(ticket, client);
-                }
-                if let Some(link) = self.hosts.get_mut(host) {
-                    link.full_at = None;
-                }
-                self.watch(now, Event::Offer { outcome: Outcome::Ok, detail: Detail::None, stretch });
-                self.watch(now, Event::Answered { in_aim });
-                self.tell(now, News::Placed { ticket, attempt, host: host.clone(), elapsed });
-            }
-            // The task's own time is over: hosts release it so wherever it is offered. Guards against
-            // offering it again and holding each of these hosts for broken; its client is told the cause.
-            (State::Out { attempt, host: h, since, .. }, HostWord::Down(cause::NORMAL, detail))
-                if h == host =>
-            {
-                let (attempt, host, elapsed, outcome) = (*attempt, host.clone(), now - since, Outcome::Ok);
-                self.enter(ticket, State::Held);
-                self.settle(now, &host, true);
-                self.answer(now, ticket, cause::NORMAL, None);
-                self.tell(now, News::Ended { ticket, attempt, host, outcome, detail, elapsed });
-            }
-            (State::Out { host: h, .. }, HostWord::Down(cause, detail)) if h == host => {
-                let outcome = match cause {
-                    cause::FULL => Outcome::Full,
-                    cause::FAILED => Outcome::Error,
-                    cause::MOOT => Outcome::Moot,
-                    _ => Outcome::Reset,
-                };
-                if outcome == Outcome::Full && detail != Detail::NotHere {
-                    self.hosts.get_mut(host).into_iter().for_each(|link| link.full_at = Some(now));
-                }
-                let news = self.end_attempt(now, ticket, outcome, detail);
-                news.into_iter().for_each(|news| self.tell(now, news));
-            }
-            (State::Standing { host: h, .. } | State::Leaving { host: h, .. }, word) if h == host => {
-                match word {
-                    HostWord::Down(cause, detail) => {
-                        self.heard(now, host, id);
-                        self.end_standing(now, ticket, cause, detail);
-                    }
-                    HostWord::Tell(note, value) => {
-                        self.tell(now, News::Noted { ticket, host: host.clone(), note, value });
-                    }
-                    HostWord::Up(_) | HostWord::Other => {}
-                }
-            }
-            _ => {}
-        }
-    }
-
-    /// Tells a host that its release was heard.
-    fn heard(&self, now: Micros, host: &HostId, id: TaskId) {
-        if let Some(Phase::Up(conn)) = self.hosts.get(host).map(|link| &link.phase) {
-            conn.send(now, &lines::heard(id));
-        }
-    }
-
     // ---- Feed and time ----
 
     /// A line of the feed shows that nothing is missing.
--- /dev/null
+++ b/src/net/dispatch/host_messages.rs
@@ -0,0 +1,101 @@
+//! Owns what hosts say on their connections: answers, releases and notes. What a host says counts only for the attempt
+//! that is out there or the task that stands there. It never passes on a late word on an attempt given up, and never
+//! decides what follows: that is the module's.
+
+use super::Dispatch;
+use super::requests::{Ended, State};
+use crate::net::codec::lines::{self, HostWord};
+use crate::net::codec::{TaskId, binary, cause};
+use crate::net::hosts::Phase;
+use anisehead::facade::News;
+use anisehead::health::Event;
+use anisehead::operation::tally::Ended as Told;
+use anisehead::{Detail, HostId, Micros, Outcome};
+
+impl Dispatch {
+    /// A message of a host. It counts only for the attempt that is out there or the task that stands
+    /// there: a late word on an attempt given up is never passed on.
+    pub fn host_word(&mut self, host: &HostId, id: TaskId, word: HostWord) {
+        let now = self.clock.now();
+        if let Some(link) = self.hosts.get_mut(host) {
+            (link.heard, link.doubt) = (now, false);
+        }
+        let ticket = self.by_id.get(&id).copied();
+        let known = ticket.and_then(|ticket| Some((ticket, self.requests.get_mut(&ticket)?)));
+        let Some((ticket, request)) = known else {
+            if let HostWord::Down(cause, detail) = word {
+                self.heard(now, host, id);
+                self.ended.insert(id, Ended { by: Some((host.clone(), cause, detail)), since: now });
+            }
+            return;
+        };
+        match (&request.state, word) {
+            (State::Out { attempt, host: h, since, .. }, HostWord::Up(description)) if h == host => {
+                let (attempt, elapsed) = (*attempt, now - since);
+                request.set_up = None;
+                let (stretch, in_aim) =
+                    (elapsed as f64 / request.aim as f64, now - request.since <= request.aim);
+                let (client, class) = (request.client.take(), request.class);
+                self.enter(ticket, State::Standing { attempt, host: host.clone(), since: now });
+                self.settle(now, host, true);
+                if let Some(client) = client {
+                    self.tally.ended(class, Told::Served);
+                    self.clients.send(now, client, &binary::answer(id, &description));
+                    self.clients.settled(client, ticket);
+                    self.clients.prove(client);
+                    self.stands_for(ticket, client);
+                }
+                if let Some(link) = self.hosts.get_mut(host) {
+                    link.full_at = None;
+                }
+                self.watch(now, Event::Offer { outcome: Outcome::Ok, detail: Detail::None, stretch });
+                self.watch(now, Event::Answered { in_aim });
+                self.tell(now, News::Placed { ticket, attempt, host: host.clone(), elapsed });
+            }
+            // The task's own time is over: hosts release it so wherever it is offered. Guards against
+            // offering it again and holding each of these hosts for broken; its client is told the cause.
+            (State::Out { attempt, host: h, since, .. }, HostWord::Down(cause::NORMAL, detail))
+                if h == host =>
+            {
+                let (attempt, host, elapsed, outcome) = (*attempt, host.clone(), now - since, Outcome::Ok);
+                self.enter(ticket, State::Held);
+                self.settle(now, &host, true);
+                self.answer(now, ticket, cause::NORMAL, None);
+                self.tell(now, News::Ended { ticket, attempt, host, outcome, detail, elapsed });
+            }
+            (State::Out { host: h, .. }, HostWord::Down(cause, detail)) if h == host => {
+                let outcome = match cause {
+                    cause::FULL => Outcome::Full,
+                    cause::FAILED => Outcome::Error,
+                    cause::MOOT => Outcome::Moot,
+                    _ => Outcome::Reset,
+                };
+                if outcome == Outcome::Full && detail != Detail::NotHere {
+                    self.hosts.get_mut(host).into_iter().for_each(|link| link.full_at = Some(now));
+                }
+                let news = self.end_attempt(now, ticket, outcome, detail);
+                news.into_iter().for_each(|news| self.tell(now, news));
+            }
+            (State::Standing { host: h, .. } | State::Leaving { host: h, .. }, word) if h == host => {
+                match word {
+                    HostWord::Down(cause, detail) => {
+                        self.heard(now, host, id);
+                        self.end_standing(now, ticket, cause, detail);
+                    }
+                    HostWord::Tell(note, value) => {
+                        self.tell(now, News::Noted { ticket, host: host.clone(), note, value });
+                    }
+                    HostWord::Up(_) | HostWord::Other => {}
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// Tells a host that its release was heard.
+    fn heard(&self, now: Micros, host: &HostId, id: TaskId) {
+        if let Some(Phase::Up(conn)) = self.hosts.get(host).map(|link| &link.phase) {
+            conn.send(now, &lines::heard(id));
+        }
+    }
+}
