The end of the process, the feed and the health engine in modules of their own

Change: SIGTERM, drain and closing move to dispatch/shutdown.rs, what the health engine is shown to dispatch/watching.rs, the feed's life to dispatch/feed_messages.rs, orders of operators to dispatch/operating.rs. dispatch.rs keeps the struct, its construction and its limits. Code moved unchanged but for visibility. No change of behaviour.

--- a/src/net/dispatch.rs
+++ b/src/net/dispatch.rs
@@ -1,63 +1,63 @@
-//! One state per request: who is owed what.
+//! Owns one state per request: who is owed what. Everything that happens on a socket or the wheel ends here, is told to
+//! the facade, and comes back as verdicts. It never waits, and never decides where a task goes.
 //!
-//! Everything that happens on a socket or the wheel ends here, is told to the facade, and comes back
-//! as verdicts. This is the only place that sends a final answer.
+//! This is the only place that sends a final answer.
+//!
+//! ```text
+//!    client_messages ──┐                                   ┌──▶ offers ─────▶ links, at_hosts
+//!    host_messages ────┤                                   │
+//!    feed_messages ────┼──▶ verdicts ──▶ facade ──▶ verdicts ──▶ answers
+//!    links ────────────┤    (tell)                (carry_out)
+//!    timers ───────────┘                                   └──▶ standing
+//! ```
+//!
+//! `requests` holds the states and draws them. `shutdown`, `operating`, `watching` and `bounds` are what platform and
+//! operators see of the process.
 
 mod answers;
 mod at_hosts;
 mod bounds;
 mod client_messages;
+mod feed_messages;
 mod host_messages;
 mod links;
 mod offers;
 mod operating;
 mod requests;
+mod shutdown;
 mod standing;
 mod timers;
 mod verdicts;
+mod watching;
 
 use super::clients::Clients;
 use super::clock::Clock;
+use super::codec::TaskId;
 use super::codec::feed::FeedLine;
-use super::codec::{Malformed, TaskId};
 use super::config::{Config, Limits};
-use super::conn::{self, End};
+use super::conn;
 use super::health::gate::Gate;
-use super::health::watch::{Refused, Task, Watch};
+use super::health::watch::Watch;
 use super::hosts::{Link, Round};
 use super::wheel::Wheel;
-use crate::ctl;
 use crate::operator::Operator;
 use anisehead::descriptors::Pool;
 use anisehead::facade::{Facade, News, Ticket};
-use anisehead::health::drain::Hand;
-use anisehead::health::{Event, Gauges, Zone};
 use anisehead::operation::company::Company;
-use anisehead::operation::duty::{self, Duty};
+use anisehead::operation::duty::Duty;
 use anisehead::operation::tally::Tally;
 use anisehead::settings::Names;
-use anisehead::{HostId, HostState, Micros};
+use anisehead::{HostId, Micros};
 use async_executor::LocalExecutor;
 use at_hosts::AtHosts;
-use requests::{Ended, Request, State};
-use simd_json::OwnedValue;
+use requests::{Ended, Request};
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::{Rc, Weak};
 use timers::{Due, SWEEP};
-use tracing::{info, warn};
+use tracing::info;
 
 const MILLI: Micros = 1_000;
-/// After SIGTERM the platform ends the process no sooner than after the longest wait of a client, counted as this
-/// at the most, and 700 ms more (the protocol's figures). Of these, what is owed is answered so long after the
-/// wait, and the process ends at last so long after it.
-const CLOSE_WAIT: Micros = 3_000 * MILLI;
-const CLOSE_ANSWER: Micros = 300 * MILLI;
-const CLOSE_END: Micros = 500 * MILLI;
-/// New work may still arrive for 0.6 s (the protocol's figure): with this the process does not end before.
-const CLOSE_OPEN: Micros = 1_000 * MILLI;
-/// How long a host's word that it is full counts.
-const FULL: Micros = 15_000 * MILLI;
 /// Operators' callers at a time. Guards the descriptors, which are set apart from the clients' and the hosts'; one
 /// that has said half a line makes room for the next.
 pub const MOST_CALLERS: usize = 8;
@@ -211,13 +211,6 @@
         info!(name = self.name, hosts = self.hosts.len(), warm = self.warm, "serves");
     }
 
-    /// Names the entries of an event that can't be right.
-    pub fn name_aside(&self, aside: &[(String, Malformed)]) {
-        for (host, why) in aside {
-            warn!(host, reason = %why, "entry set aside");
-        }
-    }
-
     /// Takes over what the process may hold.
     pub fn limit(&mut self, limits: Limits) {
         self.limits = limits;
@@ -231,177 +224,4 @@
     pub fn names(&self) -> &Names {
         self.facade.names()
     }
-
-    /// Tells the health engine, where one runs.
-    pub fn watch(&mut self, now: Micros, event: Event) {
-        if let Some(watch) = &mut self.watch {
-            watch.tell(now, event);
-        }
-    }
-
-    // ---- Feed and time ----
-
-    /// A line of the feed shows that nothing is missing.
-    pub fn feed_lives(&mut self) {
-        let now = self.clock.now();
-        self.watch(now, Event::Feed);
-        if !std::mem::replace(&mut self.feed_up, true) {
-            self.tell(now, News::FeedUp);
-        }
-    }
-
-    /// The feed is dead; it is called again.
-    pub fn feed_ended(&mut self, last: u64, end: End) {
-        let now = self.clock.now();
-        if std::mem::replace(&mut self.feed_up, false) {
-            info!(peer = "feed", reason = %end, last, "connection ended");
-            self.tell(now, News::FeedDown);
-        }
-    }
-
-    /// SIGTERM: without an operator's word on drains, the process ends as the platform wants it.
-    pub fn terminate(&mut self) {
-        let now = self.clock.now();
-        match self.watch.as_mut().and_then(|watch| watch.terminate(now)) {
-            Some(tasks) => self.follow(now, tasks),
-            None if self.inherits => self.on_duty(now, duty::Event::Leave(self.facade.longest())),
-            None => self.close_down(now, self.closing_wait() + CLOSE_ANSWER),
-        }
-    }
-
-    /// An order of an operator: what to answer.
-    pub fn ordered(&mut self, order: ctl::Order) -> Result<OwnedValue, String> {
-        use anisehead::health::Order;
-        let (now, hand) = (self.clock.now(), self.hand());
-        let order = match order {
-            ctl::Order::Overload => return self.tell_overload(now),
-            ctl::Order::State => None,
-            ctl::Order::Drain => Some(Order::Drain),
-            ctl::Order::Ready => Some(Order::Ready),
-            ctl::Order::Maint => Some(Order::Maint),
-        };
-        let watch = self.watch.as_mut().ok_or("nothing is watched here")?;
-        if let Some(order) = order {
-            info!(?order, "ordered");
-            let tasks = watch.order(now, order).map_err(|Refused(why)| why.to_string())?;
-            self.follow(now, tasks);
-        }
-        let watch = self.watch.as_mut().ok_or("nothing is watched here")?;
-        Ok(watch.state(now, hand))
-    }
-
-    /// Does what the drain asks for.
-    fn follow(&mut self, now: Micros, tasks: Vec<Task>) {
-        for task in tasks {
-            match task {
-                Task::CloseIdle(close) => {
-                    self.closes_idle = close;
-                    self.close_idle();
-                }
-                Task::Answer(within) => self.close_down(now, within),
-                Task::Exit(left) => {
-                    self.drained = true;
-                    self.name_what_is_left(left);
-                }
-            }
-        }
-    }
-
-    /// Who is owed what, for a drain.
-    fn hand(&self) -> Hand {
-        let now = self.clock.now();
-        let owed = self.owed();
-        Hand {
-            owed,
-            standing: self.requests.len() - owed,
-            untold: self.clients.untold(now),
-            unflushed: self.clients.unflushed(),
-        }
-    }
-
-    /// What a drain could not wait for, task by task.
-    fn name_what_is_left(&self, left: Hand) {
-        info!(owed = left.owed, standing = left.standing, untold = left.untold, "drained");
-        for request in self.requests.values() {
-            if let State::Standing { host, .. } | State::Leaving { host, .. } = &request.state {
-                warn!(task = %request.id, host = &*host.0, "left standing");
-            }
-        }
-    }
-
-    /// What the health engine looks at, and the drain.
-    fn look(&mut self, now: Micros) {
-        if self.watch.is_none() {
-            return;
-        }
-        let mut zones: BTreeMap<anisehead::ZoneId, Zone> = BTreeMap::new();
-        let (mut listed, mut roomy, mut full) = (0u32, 0u32, 0u32);
-        let ordinary = self.facade.ordinary();
-        for link in self.hosts.values().filter(|link| link.state == HostState::Up) {
-            let zone = zones.entry(link.zone).or_default();
-            zone.listed += 1;
-            zone.refused += u32::from(link.down_since.is_some() && link.refused);
-            zone.silent += u32::from(link.down_since.is_some() && !link.refused);
-            listed += 1;
-            let fits =
-                ordinary.is_none_or(|size| link.free.iter().zip(size).all(|(free, asked)| *free >= asked));
-            roomy += u32::from(fits);
-            full += u32::from(link.full_at.is_some_and(|at| now - at < FULL));
-        }
-        let ages = self.requests.values().filter(|r| r.owes()).map(|r| (now - r.since) as f64 / r.aim as f64);
-        let gauges = Gauges {
-            oldest: ages.fold(0.0, f64::max),
-            zones: zones.into_values().collect(),
-            roomy: ordinary.filter(|_| listed > 0).map(|_| f64::from(roomy) / f64::from(listed)),
-            full: f64::from(full) / f64::from(listed.max(1)),
-            descriptors: self.clients.live() as f64 / self.clients.budget(self.hosts_in_use()) as f64,
-            queues: conn::queued_share(),
-        };
-        let hand = self.hand();
-        if let Some(watch) = &mut self.watch {
-            watch.tell(now, Event::Look(gauges));
-            let tasks = watch.look(now, hand);
-            self.follow(now, tasks);
-        }
-    }
-
-    fn close_down(&mut self, now: Micros, within: Micros) {
-        if self.closing.is_none() {
-            self.closing = Some(now);
-            info!(requests = self.requests.len(), "closing");
-            self.tell(now, News::Closing(within));
-        }
-    }
-
-    /// The longest wait of a client, as the platform counts it at an end of the process.
-    fn closing_wait(&self) -> Micros {
-        self.facade.longest().clamp(0, CLOSE_WAIT)
-    }
-
-    /// Whether the process must end, whatever is left.
-    pub fn overdue(&self) -> bool {
-        let now = self.clock.now();
-        let end = self.closing_wait() + CLOSE_END;
-        let ends = |since| if self.duty.leaves() { self.duty.overdue(now) } else { now - since >= end };
-        self.drained || self.closing.is_some_and(ends)
-    }
-
-    /// Whether the process may end.
-    pub fn finished(&self) -> bool {
-        let now = self.clock.now();
-        if self.drained {
-            return true;
-        }
-        let Some(since) = self.closing else { return false };
-        // A drain that has come to this tells itself when it is over.
-        if self.watch.as_ref().is_some_and(Watch::draining) {
-            return false;
-        }
-        let clear = !self.requests.values().any(Request::owes) && self.clients.flushed();
-        if self.duty.leaves() {
-            return (clear && self.clients.at_rest(now)) || self.duty.overdue(now);
-        }
-        let end = self.closing_wait() + CLOSE_END;
-        now - since >= end || (now - since >= CLOSE_OPEN.min(end) && clear)
-    }
 }
--- a/src/net/dispatch/operating.rs
+++ b/src/net/dispatch/operating.rs
@@ -2,9 +2,11 @@
 
 use super::Dispatch;
 use super::requests::Request;
-use crate::net::health::watch::Watch;
+use crate::ctl;
+use crate::net::health::watch::{Refused, Watch};
 use anisehead::Micros;
 use anisehead::operation::duty::{Effect, Event};
+use simd_json::OwnedValue;
 use tracing::info;
 
 impl Dispatch {
@@ -69,6 +71,27 @@
         self.facade.avoided()
     }
 
+    /// An order of an operator: what to answer.
+    pub fn ordered(&mut self, order: ctl::Order) -> Result<OwnedValue, String> {
+        use anisehead::health::Order;
+        let (now, hand) = (self.clock.now(), self.hand());
+        let order = match order {
+            ctl::Order::Overload => return self.tell_overload(now),
+            ctl::Order::State => None,
+            ctl::Order::Drain => Some(Order::Drain),
+            ctl::Order::Ready => Some(Order::Ready),
+            ctl::Order::Maint => Some(Order::Maint),
+        };
+        let watch = self.watch.as_mut().ok_or("nothing is watched here")?;
+        if let Some(order) = order {
+            info!(?order, "ordered");
+            let tasks = watch.order(now, order).map_err(|Refused(why)| why.to_string())?;
+            self.follow(now, tasks);
+        }
+        let watch = self.watch.as_mut().ok_or("nothing is watched here")?;
+        Ok(watch.state(now, hand))
+    }
+
     /// Something has happened that concerns whether this process takes requests.
     pub fn on_duty(&mut self, now: Micros, event: Event) {
         let before = self.duty.phase();
--- /dev/null
+++ b/src/net/dispatch/shutdown.rs
@@ -0,0 +1,111 @@
+//! Owns the end of the process: SIGTERM, drains, and when the process may or must end. It never takes back an answer
+//! that is owed: closing makes the module answer in time.
+
+use super::requests::{Request, State};
+use super::{Dispatch, MILLI};
+use crate::net::health::watch::{Task, Watch};
+use anisehead::Micros;
+use anisehead::facade::News;
+use anisehead::health::drain::Hand;
+use anisehead::operation::duty;
+use tracing::{info, warn};
+
+/// After SIGTERM the platform ends the process no sooner than after the longest wait of a client, counted as this
+/// at the most, and 700 ms more (the protocol's figures). Of these, what is owed is answered so long after the
+/// wait, and the process ends at last so long after it.
+const CLOSE_WAIT: Micros = 3_000 * MILLI;
+const CLOSE_ANSWER: Micros = 300 * MILLI;
+const CLOSE_END: Micros = 500 * MILLI;
+/// New work may still arrive for 0.6 s (the protocol's figure): with this the process does not end before.
+const CLOSE_OPEN: Micros = 1_000 * MILLI;
+
+impl Dispatch {
+    /// SIGTERM: without an operator's word on drains, the process ends as the platform wants it.
+    pub fn terminate(&mut self) {
+        let now = self.clock.now();
+        match self.watch.as_mut().and_then(|watch| watch.terminate(now)) {
+            Some(tasks) => self.follow(now, tasks),
+            None if self.inherits => self.on_duty(now, duty::Event::Leave(self.facade.longest())),
+            None => self.close_down(now, self.closing_wait() + CLOSE_ANSWER),
+        }
+    }
+
+    /// Does what the drain asks for.
+    pub(super) fn follow(&mut self, now: Micros, tasks: Vec<Task>) {
+        for task in tasks {
+            match task {
+                Task::CloseIdle(close) => {
+                    self.closes_idle = close;
+                    self.close_idle();
+                }
+                Task::Answer(within) => self.close_down(now, within),
+                Task::Exit(left) => {
+                    self.drained = true;
+                    self.name_what_is_left(left);
+                }
+            }
+        }
+    }
+
+    /// Who is owed what, for a drain.
+    pub(super) fn hand(&self) -> Hand {
+        let now = self.clock.now();
+        let owed = self.owed();
+        Hand {
+            owed,
+            standing: self.requests.len() - owed,
+            untold: self.clients.untold(now),
+            unflushed: self.clients.unflushed(),
+        }
+    }
+
+    /// What a drain could not wait for, task by task.
+    fn name_what_is_left(&self, left: Hand) {
+        info!(owed = left.owed, standing = left.standing, untold = left.untold, "drained");
+        for request in self.requests.values() {
+            if let State::Standing { host, .. } | State::Leaving { host, .. } = &request.state {
+                warn!(task = %request.id, host = &*host.0, "left standing");
+            }
+        }
+    }
+
+    pub(super) fn close_down(&mut self, now: Micros, within: Micros) {
+        if self.closing.is_none() {
+            self.closing = Some(now);
+            info!(requests = self.requests.len(), "closing");
+            self.tell(now, News::Closing(within));
+        }
+    }
+
+    /// The longest wait of a client, as the platform counts it at an end of the process.
+    fn closing_wait(&self) -> Micros {
+        self.facade.longest().clamp(0, CLOSE_WAIT)
+    }
+
+    /// Whether the process must end, whatever is left.
+    pub fn overdue(&self) -> bool {
+        let now = self.clock.now();
+        let end = self.closing_wait() + CLOSE_END;
+        let ends = |since| if self.duty.leaves() { self.duty.overdue(now) } else { now - since >= end };
+        self.drained || self.closing.is_some_and(ends)
+    }
+
+    /// Whether the process may end.
+    pub fn finished(&self) -> bool {
+        let now = self.clock.now();
+        if self.drained {
+            return true;
+        }
+        let Some(since) = self.closing else { return false };
+        // A drain that has come to this tells itself when it is over.
+        if self.watch.as_ref().is_some_and(Watch::draining) {
+            return false;
+        }
+        let clear = !self.requests.values().any(Request::owes) && self.clients.flushed();
+        if self.duty.leaves() {
+            return (clear && self.clients.at_rest(now)) || self.duty.overdue(now);
+        }
+        let end = self.closing_wait() + CLOSE_END;
+        now - since >= end || (now - since >= CLOSE_OPEN.min(end) && clear)
+    }
+}
