Final answers leave by one module; a host's words and the timers by short functions

Need: answers to placed and to unfit set-ups were written in host_word, client_word and set_up. No change of behaviour.

--- a/src/net/dispatch.rs
+++ b/src/net/dispatch.rs
@@ -1,7 +1,7 @@
 //! Owns one state per request: who is owed what. Everything that happens on a socket or the wheel ends here, is told to
 //! the facade, and comes back as verdicts. It never waits, and never decides where a task goes.
 //!
-//! This is the only place that sends a final answer.
+//! This is the only place that sends a final answer, and of its modules only `answers` does.
 //!
 //! ```text
 //!    client_messages ──┐                                   ┌──▶ offers ─────▶ links, at_hosts
--- a/src/net/dispatch/answers.rs
+++ b/src/net/dispatch/answers.rs
@@ -1,15 +1,22 @@
-//! Owns the final answers.
+//! Owns the final answers: a set-up that was taken in is answered here and nowhere else, once, since it leaves `Held`
+//! and `Out` with its answer. It never decides on an answer, never offers a task, and never tells the end of a task that
+//! stood (`standing` does).
+//!
+//! - `answer`: refused or failed, and the one end that a host gives a task before its answer (its own time is over).
+//! - `answer_placed`: a host has started the task; its description goes to the client unchanged.
+//! - `answer_unfit`: a set-up that can't be right, which never came into the table.
 
 use super::Dispatch;
 use super::requests::State;
-use crate::net::codec::{binary, cause};
+use crate::net::clients::ClientId;
+use crate::net::codec::{TaskId, binary, cause};
 use anisehead::facade::{News, Ticket};
 use anisehead::health::Event;
 use anisehead::operation::tally::Ended as Told;
 use anisehead::{Micros, Outcome};
 
 impl Dispatch {
-    /// The final answer: the only place that gives a refusal or a failure.
+    /// The final answer to a request that does not stand: the only place that gives it a refusal or a failure.
     pub(super) fn answer(
         &mut self,
         now: Micros,
@@ -30,4 +37,24 @@
         }
         news
     }
+
+    /// The final answer to a request whose task a host has started.
+    pub(super) fn answer_placed(
+        &mut self,
+        now: Micros,
+        ticket: Ticket,
+        client: ClientId,
+        class: Option<usize>,
+        id: TaskId,
+        description: &str,
+    ) {
+        self.tally.ended(class, Told::Served);
+        self.clients.send(now, client, &binary::answer(id, description));
+        self.clients.settled(client, ticket);
+    }
+
+    /// The final answer to a set-up that neither the module nor a host hears of.
+    pub(super) fn answer_unfit(&mut self, now: Micros, client: ClientId, id: TaskId) {
+        self.clients.send(now, client, &binary::release(id, cause::FAILED, None));
+    }
 }
--- a/src/net/dispatch/client_messages.rs
+++ b/src/net/dispatch/client_messages.rs
@@ -7,7 +7,7 @@
 use super::{Dispatch, MILLI};
 use crate::net::clients::ClientId;
 use crate::net::codec::binary::{self, ClientWord};
-use crate::net::codec::{Malformed, SetUp, TaskId, cause};
+use crate::net::codec::{Malformed, SetUp, TaskId};
 use crate::net::conn::{Conn, End};
 use anisehead::facade::{News, Ticket, Unfit};
 use anisehead::operation::duty;
@@ -79,7 +79,7 @@
             },
             ClientWord::BadSetUp(why) if held.is_none() => {
                 info!(task = %id, reason = %why, "set-up not read");
-                self.clients.send(now, client, &binary::release(id, cause::FAILED, None));
+                self.answer_unfit(now, client, id);
             }
             // A failure under this id could be taken for the answer to the one that is open.
             ClientWord::BadSetUp(_) => self.clients.stop(client, End::IdInUse),
@@ -122,7 +122,7 @@
         if let Some(why) = unfit {
             info!(task = %id, reason = why, "not placed");
             self.tally.ended(self.facade.class(&ask.class), Told::Failed);
-            return self.clients.send(now, client, &binary::release(id, cause::FAILED, None));
+            return self.answer_unfit(now, client, id);
         }
         let ticket = self.take(now, id, client, &ask.class, State::Held);
         self.clients.waits(client, ticket);
--- a/src/net/dispatch/host_messages.rs
+++ b/src/net/dispatch/host_messages.rs
@@ -5,11 +5,10 @@
 use super::Dispatch;
 use super::requests::{Ended, State};
 use crate::net::codec::lines::{self, HostWord};
-use crate::net::codec::{TaskId, binary, cause};
+use crate::net::codec::{TaskId, cause};
 use crate::net::hosts::Phase;
-use anisehead::facade::News;
+use anisehead::facade::{News, Ticket};
 use anisehead::health::Event;
-use anisehead::operation::tally::Ended as Told;
 use anisehead::{Detail, HostId, Micros, Outcome};
 
 impl Dispatch {
@@ -21,7 +20,7 @@
             (link.heard, link.doubt) = (now, false);
         }
         let ticket = self.by_id.get(&id).copied();
-        let known = ticket.and_then(|ticket| Some((ticket, self.requests.get_mut(&ticket)?)));
+        let known = ticket.and_then(|ticket| Some((ticket, self.requests.get(&ticket)?)));
         let Some((ticket, request)) = known else {
             if let HostWord::Down(cause, detail) = word {
                 self.heard(now, host, id);
@@ -29,69 +28,78 @@
             }
             return;
         };
-        match (&request.state, word) {
-            (State::Out { attempt, host: h, since, .. }, HostWord::Up(description)) if h == host => {
-                let (attempt, elapsed) = (*attempt, now - since);
-                request.set_up = None;
-                let (stretch, in_aim) =
-                    (elapsed as f64 / request.aim as f64, now - request.since <= request.aim);
-                let (client, class) = (request.client.take(), request.class);
-                self.enter(ticket, State::Standing { attempt, host: host.clone(), since: now });
-                self.settle(now, host, true);
-                if let Some(client) = client {
-                    self.tally.ended(class, Told::Served);
-                    self.clients.send(now, client, &binary::answer(id, &description));
-                    self.clients.settled(client, ticket);
-                    self.clients.prove(client);
-                    self.stands_for(ticket, client);
+        match &request.state {
+            State::Out { host: offered, .. } if offered == host => match word {
+                HostWord::Up(description) => self.task_started(now, ticket, &description),
+                HostWord::Down(cause::NORMAL, detail) => self.task_over(now, ticket, detail),
+                HostWord::Down(cause, detail) => self.offer_released(now, ticket, host, cause, detail),
+                HostWord::Tell(..) | HostWord::Other => {}
+            },
+            State::Standing { host: at, .. } | State::Leaving { host: at, .. } if at == host => match word {
+                HostWord::Down(cause, detail) => {
+                    self.heard(now, host, id);
+                    self.end_standing(now, ticket, cause, detail);
                 }
-                if let Some(link) = self.hosts.get_mut(host) {
-                    link.full_at = None;
+                HostWord::Tell(note, value) => {
+                    self.tell(now, News::Noted { ticket, host: host.clone(), note, value });
                 }
-                self.watch(now, Event::Offer { outcome: Outcome::Ok, detail: Detail::None, stretch });
-                self.watch(now, Event::Answered { in_aim });
-                self.tell(now, News::Placed { ticket, attempt, host: host.clone(), elapsed });
-            }
-            // The task's own time is over: hosts release it so wherever it is offered. Guards against
-            // offering it again and holding each of these hosts for broken; its client is told the cause.
-            (State::Out { attempt, host: h, since, .. }, HostWord::Down(cause::NORMAL, detail))
-                if h == host =>
-            {
-                let (attempt, host, elapsed, outcome) = (*attempt, host.clone(), now - since, Outcome::Ok);
-                self.enter(ticket, State::Held);
-                self.settle(now, &host, true);
-                self.answer(now, ticket, cause::NORMAL, None);
-                self.tell(now, News::Ended { ticket, attempt, host, outcome, detail, elapsed });
-            }
-            (State::Out { host: h, .. }, HostWord::Down(cause, detail)) if h == host => {
-                let outcome = match cause {
-                    cause::FULL => Outcome::Full,
-                    cause::FAILED => Outcome::Error,
-                    cause::MOOT => Outcome::Moot,
-                    _ => Outcome::Reset,
-                };
-                if outcome == Outcome::Full && detail != Detail::NotHere {
-                    self.hosts.get_mut(host).into_iter().for_each(|link| link.full_at = Some(now));
-                }
-                let news = self.end_attempt(now, ticket, outcome, detail);
-                news.into_iter().for_each(|news| self.tell(now, news));
-            }
-            (State::Standing { host: h, .. } | State::Leaving { host: h, .. }, word) if h == host => {
-                match word {
-                    HostWord::Down(cause, detail) => {
-                        self.heard(now, host, id);
-                        self.end_standing(now, ticket, cause, detail);
-                    }
-                    HostWord::Tell(note, value) => {
-                        self.tell(now, News::Noted { ticket, host: host.clone(), note, value });
-                    }
-                    HostWord::Up(_) | HostWord::Other => {}
-                }
-            }
+                HostWord::Up(_) | HostWord::Other => {}
+            },
             _ => {}
         }
     }
 
+    /// The host of the offer that is out has started the task: it stands, and its client gets the answer.
+    fn task_started(&mut self, now: Micros, ticket: Ticket, description: &str) {
+        let Some(request) = self.requests.get_mut(&ticket) else { return };
+        let State::Out { attempt, host, since, .. } = &request.state else { return };
+        let (attempt, host, elapsed) = (*attempt, host.clone(), now - since);
+        request.set_up = None;
+        let stretch = elapsed as f64 / request.aim as f64;
+        let in_aim = now - request.since <= request.aim;
+        let (id, client, class) = (request.id, request.client.take(), request.class);
+        self.enter(ticket, State::Standing { attempt, host: host.clone(), since: now });
+        self.settle(now, &host, true);
+        if let Some(client) = client {
+            self.answer_placed(now, ticket, client, class, id, description);
+            self.clients.prove(client);
+            self.stands_for(ticket, client);
+        }
+        if let Some(link) = self.hosts.get_mut(&host) {
+            link.full_at = None;
+        }
+        self.watch(now, Event::Offer { outcome: Outcome::Ok, detail: Detail::None, stretch });
+        self.watch(now, Event::Answered { in_aim });
+        self.tell(now, News::Placed { ticket, attempt, host, elapsed });
+    }
+
+    /// The task's own time is over: hosts release it so wherever it is offered. Guards against offering it again and
+    /// holding each of these hosts for broken; its client is told the cause.
+    fn task_over(&mut self, now: Micros, ticket: Ticket, detail: Detail) {
+        let Some(request) = self.requests.get(&ticket) else { return };
+        let State::Out { attempt, host, since, .. } = &request.state else { return };
+        let (attempt, host, elapsed, outcome) = (*attempt, host.clone(), now - since, Outcome::Ok);
+        self.enter(ticket, State::Held);
+        self.settle(now, &host, true);
+        self.answer(now, ticket, cause::NORMAL, None);
+        self.tell(now, News::Ended { ticket, attempt, host, outcome, detail, elapsed });
+    }
+
+    /// The host of the offer that is out does not start the task: the attempt has ended, and the module decides on.
+    fn offer_released(&mut self, now: Micros, ticket: Ticket, host: &HostId, cause: u8, detail: Detail) {
+        let outcome = match cause {
+            cause::FULL => Outcome::Full,
+            cause::FAILED => Outcome::Error,
+            cause::MOOT => Outcome::Moot,
+            _ => Outcome::Reset,
+        };
+        if outcome == Outcome::Full && detail != Detail::NotHere {
+            self.hosts.get_mut(host).into_iter().for_each(|link| link.full_at = Some(now));
+        }
+        let news = self.end_attempt(now, ticket, outcome, detail);
+        news.into_iter().for_each(|news| self.tell(now, news));
+    }
+
     /// Tells a host that its release was heard.
     fn heard(&self, now: Micros, host: &HostId, id: TaskId) {
         if let Some(Phase::Up(conn)) = self.hosts.get(host).map(|link| &link.phase) {
--- a/src/net/dispatch/timers.rs
+++ b/src/net/dispatch/timers.rs
@@ -40,47 +40,55 @@
             self.send_waiting(now, &host);
         }
         for due in self.wheel.due(now) {
-            match due {
-                Due::Attempt(ticket, attempt) => {
-                    let news = self.give_up(now, ticket, Some(attempt), Outcome::Timeout);
-                    news.into_iter().for_each(|news| self.tell(now, news));
-                }
-                Due::Doubt(ticket, attempt) => self.doubt_silent(now, ticket, attempt),
-                Due::Unsent(ticket, attempt) => self.end_unsent(now, ticket, attempt),
-                Due::Connect(host, round) => {
-                    if let Some(Link { phase: Phase::Connecting(stop), round: r, .. }) = self.hosts.get(&host)
-                        && *r == round
-                    {
-                        let _ = stop.try_send(());
-                        self.dial_failed(&host, round, DialError::TimedOut);
-                    }
-                }
-                Due::Redial(host, round) => {
-                    if self.hosts.get(&host).is_some_and(|link| link.round == round) {
-                        self.redial(now, &host);
-                    }
+            self.is_due(now, due);
+        }
+        let verdicts = self.facade.tick(now);
+        self.carry_out(now, verdicts);
+    }
+
+    /// The time of a timer has come. What it was set for may be over by now: each looks whether it still holds.
+    fn is_due(&mut self, now: Micros, due: Due) {
+        match due {
+            Due::Attempt(ticket, attempt) => {
+                let news = self.give_up(now, ticket, Some(attempt), Outcome::Timeout);
+                news.into_iter().for_each(|news| self.tell(now, news));
+            }
+            Due::Doubt(ticket, attempt) => self.doubt_silent(now, ticket, attempt),
+            Due::Unsent(ticket, attempt) => self.end_unsent(now, ticket, attempt),
+            Due::Connect(host, round) => {
+                if let Some(Link { phase: Phase::Connecting(stop), round: r, .. }) = self.hosts.get(&host)
+                    && *r == round
+                {
+                    let _ = stop.try_send(());
+                    self.dial_failed(&host, round, DialError::TimedOut);
                 }
-                Due::Unreached(host, since) => self.lose_unreached(now, &host, since),
-                Due::ReadOff(host, round) => self.end_read_off(&host, round),
-                Due::Left(ticket) => {
-                    if let Some(State::Leaving { .. }) = self.requests.get(&ticket).map(|r| &r.state) {
-                        self.end_standing(now, ticket, cause::CANCELLED, Detail::None);
-                    }
+            }
+            Due::Redial(host, round) => {
+                if self.hosts.get(&host).is_some_and(|link| link.round == round) {
+                    self.redial(now, &host);
                 }
-                Due::Unlisted(ticket) => self.end_unlisted(now, ticket),
-                Due::Sweep => {
-                    self.clients.sweep(now);
-                    self.sweep_links(now);
-                    self.gate.sweep(now);
-                    self.orders.iter().for_each(|gate| gate.sweep(now));
-                    self.look(now);
-                    self.log_overload(now);
-                    self.ended.retain(|_, ended| now - ended.since < ENDED);
-                    self.wheel.add(now + SWEEP, Due::Sweep);
+            }
+            Due::Unreached(host, since) => self.lose_unreached(now, &host, since),
+            Due::ReadOff(host, round) => self.end_read_off(&host, round),
+            Due::Left(ticket) => {
+                if let Some(State::Leaving { .. }) = self.requests.get(&ticket).map(|r| &r.state) {
+                    self.end_standing(now, ticket, cause::CANCELLED, Detail::None);
                 }
             }
+            Due::Unlisted(ticket) => self.end_unlisted(now, ticket),
+            Due::Sweep => self.sweep(now),
         }
-        let verdicts = self.facade.tick(now);
-        self.carry_out(now, verdicts);
+    }
+
+    /// Looks through all connections, and forgets what has been kept for long enough.
+    fn sweep(&mut self, now: Micros) {
+        self.clients.sweep(now);
+        self.sweep_links(now);
+        self.gate.sweep(now);
+        self.orders.iter().for_each(|gate| gate.sweep(now));
+        self.look(now);
+        self.log_overload(now);
+        self.ended.retain(|_, ended| now - ended.since < ENDED);
+        self.wheel.add(now + SWEEP, Due::Sweep);
     }
 }
