Slots for connections stand beside the links; the life of an attempt in one module

Change: who gets a slot moves from links to dispatch/slots.rs, end_unsent and never_ran to dispatch/offers.rs; each module's doc opens with what it owns and never does. Code moved unchanged but for visibility; listed and update_hosts are untouched. No change of behaviour.

--- a/src/net/dispatch.rs
+++ b/src/net/dispatch.rs
@@ -4,15 +4,17 @@
 //! This is the only place that sends a final answer, and of its modules only `answers` does.
 //!
 //! ```text
-//!    client_messages ──┐                                   ┌──▶ offers ─────▶ links, at_hosts
-//!    host_messages ────┤                                   │
-//!    feed_messages ────┼──▶ verdicts ──▶ facade ──▶ verdicts ──▶ answers
-//!    links ────────────┤    (tell)                (carry_out)
-//!    timers ───────────┘                                   └──▶ standing
+//!    client_messages ──┐                            carry_out
+//!    host_messages ────┤  tell   ┌──────────┐ ─────────────────▶ offers, answers, standing
+//!    feed_messages ────┼───────▶ │ verdicts │                       │
+//!    links ────────────┤         └──────────┘                       │ through links (connections to hosts),
+//!    timers ───────────┘           │      ▲                         │ of which slots says how many there may be,
+//!                             news ▼      │ verdicts                ▼ and clients
+//!                                 facade::Facade                   peers
 //! ```
 //!
-//! `requests` holds the states and draws them. `shutdown`, `operating`, `watching` and `bounds` are what platform and
-//! operators see of the process.
+//! `requests` holds the states and draws them, `at_hosts` lists them by host. `shutdown`, `operating`, `watching` and
+//! `bounds` are what the platform and operators see of the process.
 
 mod answers;
 mod at_hosts;
@@ -25,6 +27,7 @@
 mod operating;
 mod requests;
 mod shutdown;
+mod slots;
 mod standing;
 mod timers;
 mod verdicts;
--- a/src/net/dispatch/answers.rs
+++ b/src/net/dispatch/answers.rs
@@ -5,6 +5,9 @@
 //! - `answer`: refused or failed, and the one end that a host gives a task before its answer (its own time is over).
 //! - `answer_placed`: a host has started the task; its description goes to the client unchanged.
 //! - `answer_unfit`: a set-up that can't be right, which never came into the table.
+//!
+//! A set-up with `at` names a task that a host holds already: it asks for no answer, and what its client may be told at
+//! once is the end of that task (`adopt`).
 
 use super::Dispatch;
 use super::requests::State;
--- a/src/net/dispatch/at_hosts.rs
+++ b/src/net/dispatch/at_hosts.rs
@@ -1,4 +1,5 @@
-//! The requests by the host that they are at, so that news of one host does not walk all requests.
+//! Owns the lists of requests by the host that they are at, so that news of one host does not walk all requests. It
+//! never holds a request itself, only its ticket.
 
 use anisehead::HostId;
 use anisehead::facade::Ticket;
--- a/src/net/dispatch/bounds.rs
+++ b/src/net/dispatch/bounds.rs
@@ -1,5 +1,5 @@
-//! What the engine of overloads tells people: one line of the log a second while it decides anything, and the
-//! answer to `ctl overload`.
+//! Owns what people are told of the engine of overloads: one line of the log a second while it decides anything, and
+//! the answer to `ctl overload`. It never bounds anything itself: the engine does, through the facade.
 
 use super::Dispatch;
 use anisehead::Micros;
--- a/src/net/dispatch/links.rs
+++ b/src/net/dispatch/links.rs
@@ -1,4 +1,5 @@
-//! The connections to hosts: which there are, what their ends mean, and the list.
+//! Owns the connections to hosts: how they are made, what their ends mean, and the list that names the hosts. It never
+//! decides which host gets an offer, and makes no connection that `slots` has no slot for.
 
 use super::requests::{Request, State};
 use super::timers::Due;
@@ -6,7 +7,7 @@
 use crate::net::codec::feed::Listed;
 use crate::net::conn::{Conn, End, STUCK};
 use crate::net::hosts::{self, DialError, Link, Phase, Round, Waiting};
-use anisehead::descriptors::{Answer, Rank, Want};
+use anisehead::descriptors::Want;
 use anisehead::facade::{News, Ticket};
 use anisehead::health::Event;
 use anisehead::{Detail, HostId, HostState, Micros, Outcome};
@@ -30,82 +31,7 @@
 /// host that does not answer it is called until `UNREACHED` has passed.
 const VISIT: Micros = 3_000 * MILLI;
 
-/// How long what a host still says is read on a connection that makes way.
-const READ_OFF: Micros = 200 * MILLI;
-
 impl Dispatch {
-    // ---- Slots ----
-
-    /// The host has not closed in time.
-    pub(super) fn end_read_off(&self, host: &HostId, round: Round) {
-        if let Some(conn) = self.hosts.get(host).and_then(|link| link.open(round)) {
-            conn.stop(End::Shed);
-        }
-    }
-
-    /// Hosts that may have connections.
-    pub fn hosts_in_use(&self) -> usize {
-        self.in_use
-    }
-
-    /// Shares the descriptors out anew.
-    pub(super) fn share_out(&mut self) {
-        self.pool.resize(self.clients.shares(self.in_use).hosts);
-        self.make_way(self.clock.now());
-    }
-
-    /// Takes back from clients what hosts need now. Guards against idle clients that hold, from the time when few
-    /// hosts were listed, the descriptors which are the hosts' by now: calls to these would fail.
-    fn reclaim(&mut self, now: Micros) {
-        let shares = self.clients.shares(self.in_use);
-        let held = self.clients.live() + self.pool.held();
-        self.clients.shed(now, held.saturating_sub(shares.clients + shares.hosts));
-    }
-
-    /// What a connection to a host is wanted for, if one more is. Guards against hundreds of placers that
-    /// call every host at their start, when each needs a few: where the settings price connections, a host
-    /// is called when something is wanted of it.
-    fn need(&self, host: &HostId) -> Option<Want> {
-        let link = self.hosts.get(host)?;
-        let beside = match &link.phase {
-            Phase::Connecting(_) => return None,
-            Phase::Up(_) if !link.doubt => return None,
-            Phase::Up(_) => true,
-            Phase::Down => false,
-        };
-        if !link.waiting.is_empty() {
-            Some(Want::Offer)
-        } else if link.state == HostState::Gone {
-            None
-        } else if !link.unsent.is_empty() || beside {
-            Some(Want::Release)
-        } else if self.at_hosts.standing(host).next().is_some() {
-            Some(Want::Visit)
-        } else {
-            (link.state == HostState::Up && self.warm).then_some(Want::Warm)
-        }
-    }
-
-    /// Calls a host, if a connection is wanted, as soon as there is a slot for it.
-    pub(super) fn call(&mut self, now: Micros, host: &HostId) {
-        let Some(want) = self.need(host) else { return };
-        if self.pool.ask(now, host.clone(), want) == Answer::Call {
-            self.dial(now, host);
-        }
-        self.make_way(now);
-    }
-
-    /// Calls a host again that did not answer. Where nothing is wanted of it any more, what was found out
-    /// about it is forgotten.
-    pub(super) fn redial(&mut self, now: Micros, host: &HostId) {
-        if self.need(host).is_some() {
-            return self.call(now, host);
-        }
-        if let Some(link) = self.hosts.get_mut(host).filter(|link| matches!(link.phase, Phase::Down)) {
-            (link.failures, link.down_since) = (0, None);
-        }
-    }
-
     /// How long until this placer's turn to call a host that did not answer, where turns are taken. Where tasks
     /// stand there, their ends are waited for, and the host is called no more seldom than without turns.
     fn turn_in(&self, now: Micros, host: &HostId) -> Micros {
@@ -115,95 +41,6 @@
         self.facade.overload().and_then(|overload| overload.call_in(now, host)).unwrap_or(0)
     }
 
-    /// Closes connections that others need more, and calls what has a slot now.
-    fn make_way(&mut self, now: Micros) {
-        while let Some((host, round)) = self.pool.make_way(now) {
-            let Some(link) = self.hosts.get_mut(&host) else { continue };
-            // Guards against the end of a task that the host says while we close: our side ends, and what it
-            // still has to say is read until it closes, too.
-            if link.round == round
-                && let Phase::Up(conn) = std::mem::replace(&mut link.phase, Phase::Down)
-            {
-                conn.finish();
-                link.closed = now;
-                link.doubted.push((round, conn));
-                self.wheel.add(now + READ_OFF, Due::ReadOff(host.clone(), round));
-            } else if let Some(conn) = link.open(round) {
-                conn.stop(End::Shed);
-            }
-        }
-        while let Some(host) = self.pool.call_next() {
-            if self.need(&host).is_some() {
-                self.dial(now, &host);
-            }
-        }
-    }
-
-    /// The descriptor of a connection has been given back.
-    pub fn slot_freed(&mut self, host: &HostId, round: Round) {
-        self.pool.freed(&(host.clone(), round));
-        self.make_way(self.clock.now());
-    }
-
-    /// Tells the pool what the connections to a host are needed for, `used` where one just was.
-    pub(super) fn settle(&mut self, now: Micros, host: &HostId, used: bool) {
-        let Some(link) = self.hosts.get(host) else { return };
-        let out_on = |round| {
-            let on = |ticket: Ticket| self.requests.get(&ticket).and_then(|r| r.state.out_on());
-            self.at_hosts.out(host).any(|ticket| on(ticket) == Some(round))
-        };
-        if let Phase::Up(_) = &link.phase {
-            let rank = if out_on(link.round) {
-                Rank::Busy
-            } else if self.at_hosts.standing(host).next().is_some() {
-                Rank::Stands
-            } else {
-                Rank::Idle
-            };
-            self.pool.rank(&(host.clone(), link.round), rank, used.then_some(now));
-        }
-        for (round, _) in &link.doubted {
-            let rank = if out_on(*round) { Rank::Busy } else { Rank::Spare };
-            self.pool.rank(&(host.clone(), *round), rank, None);
-        }
-        if self.pool.waiting() > 0 {
-            self.make_way(now);
-        }
-    }
-
-    /// Nothing of an offer has left for as long as a connection may take to come up: it never ran. A host that
-    /// takes nothing of what is queued for it is as good as out of reach. Where the host was not even called, for
-    /// want of a slot, or its client was not read, nothing is held against the host. Guards what is counted as
-    /// sent when it is decided (the budget of cold hosts, the time in which a repeat is dropped, the grace of a
-    /// drain) against offers that leave much later.
-    pub(super) fn end_unsent(&mut self, now: Micros, ticket: Ticket, attempt: u32) {
-        let Some(State::Out { attempt: n, host, since, round: None, .. }) =
-            self.requests.get(&ticket).map(|r| &r.state)
-        else {
-            return;
-        };
-        let (host, since) = (host.clone(), *since);
-        if *n != attempt {
-            return;
-        }
-        let Some(link) = self.hosts.get_mut(&host) else { return };
-        let outcome = match &link.phase {
-            // What becomes of a call that has had its whole time is told by its end.
-            Phase::Connecting(_) if link.dialled <= since => return,
-            Phase::Up(conn) if !conn.flushed() => Outcome::ConnectFailed,
-            Phase::Up(_) | Phase::Connecting(_) | Phase::Down => Outcome::Moot,
-        };
-        link.waiting.retain(|offer| (offer.ticket, offer.attempt) != (ticket, attempt));
-        if self.need(&host).is_none() {
-            self.pool.forget(&host);
-        }
-        if outcome == Outcome::ConnectFailed {
-            self.doubt(now, &host);
-        }
-        let news = self.end_attempt(now, ticket, outcome, Detail::None);
-        news.into_iter().for_each(|news| self.tell(now, news));
-    }
-
     // ---- The list ----
 
     /// News of the list. Tasks at what is gone, or at a process that started after them, are lost.
@@ -287,7 +124,7 @@
     // ---- Connections ----
 
     /// Starts to connect, beside what is up, if anything is.
-    fn dial(&mut self, now: Micros, host: &HostId) {
+    pub(super) fn dial(&mut self, now: Micros, host: &HostId) {
         let Some(link) = self.hosts.get_mut(host) else { return };
         let Some(address) = link.dial else { return };
         let Some(shared) = self.tasks.shared.upgrade() else { return };
@@ -391,7 +228,7 @@
     }
 
     /// Makes another connection beside the one that is up.
-    fn doubt(&mut self, now: Micros, host: &HostId) {
+    pub(super) fn doubt(&mut self, now: Micros, host: &HostId) {
         let Some(link) = self.hosts.get_mut(host) else { return };
         if let Phase::Up(_) = &link.phase {
             link.doubt = true;
@@ -415,17 +252,6 @@
         }
     }
 
-    /// Offers that waited for a connection in vain.
-    fn never_ran(&mut self, now: Micros, waiting: Vec<Waiting>, outcome: Outcome) {
-        for Waiting { ticket, attempt, .. } in waiting {
-            let request = self.requests.get(&ticket);
-            if request.is_some_and(|r| matches!(r.state, State::Out { attempt: n, .. } if n == attempt)) {
-                let news = self.end_attempt(now, ticket, outcome, Detail::None);
-                news.into_iter().for_each(|news| self.tell(now, news));
-            }
-        }
-    }
-
     /// The connection has ended: what was offered on it may have run. What stands there still does.
     pub fn host_ended(&mut self, host: &HostId, round: Round, end: End) {
         let now = self.clock.now();
--- a/src/net/dispatch/offers.rs
+++ b/src/net/dispatch/offers.rs
@@ -138,6 +138,50 @@
         let why = if round.is_none() && why == Outcome::Timeout { Outcome::ConnectFailed } else { why };
         self.end_attempt(now, ticket, why, Detail::None)
     }
+
+    /// Nothing of an offer has left for as long as a connection may take to come up: it never ran. A host that
+    /// takes nothing of what is queued for it is as good as out of reach. Where the host was not even called, for
+    /// want of a slot, or its client was not read, nothing is held against the host. Guards what is counted as
+    /// sent when it is decided (the budget of cold hosts, the time in which a repeat is dropped, the grace of a
+    /// drain) against offers that leave much later.
+    pub(super) fn end_unsent(&mut self, now: Micros, ticket: Ticket, attempt: u32) {
+        let Some(State::Out { attempt: n, host, since, round: None, .. }) =
+            self.requests.get(&ticket).map(|r| &r.state)
+        else {
+            return;
+        };
+        let (host, since) = (host.clone(), *since);
+        if *n != attempt {
+            return;
+        }
+        let Some(link) = self.hosts.get_mut(&host) else { return };
+        let outcome = match &link.phase {
+            // What becomes of a call that has had its whole time is told by its end.
+            Phase::Connecting(_) if link.dialled <= since => return,
+            Phase::Up(conn) if !conn.flushed() => Outcome::ConnectFailed,
+            Phase::Up(_) | Phase::Connecting(_) | Phase::Down => Outcome::Moot,
+        };
+        link.waiting.retain(|offer| (offer.ticket, offer.attempt) != (ticket, attempt));
+        if self.need(&host).is_none() {
+            self.pool.forget(&host);
+        }
+        if outcome == Outcome::ConnectFailed {
+            self.doubt(now, &host);
+        }
+        let news = self.end_attempt(now, ticket, outcome, Detail::None);
+        news.into_iter().for_each(|news| self.tell(now, news));
+    }
+
+    /// Offers that waited for a connection in vain.
+    pub(super) fn never_ran(&mut self, now: Micros, waiting: Vec<Waiting>, outcome: Outcome) {
+        for Waiting { ticket, attempt, .. } in waiting {
+            let request = self.requests.get(&ticket);
+            if request.is_some_and(|r| matches!(r.state, State::Out { attempt: n, .. } if n == attempt)) {
+                let news = self.end_attempt(now, ticket, outcome, Detail::None);
+                news.into_iter().for_each(|news| self.tell(now, news));
+            }
+        }
+    }
 }
 
 /// The line that offers a task to a host, if it can be one.
--- a/src/net/dispatch/operating.rs
+++ b/src/net/dispatch/operating.rs
@@ -1,4 +1,5 @@
-//! What operators ask of this process: whether it serves, what it has in hand, and to be emptied.
+//! Owns what operators ask of this process: whether it serves, what it has in hand, their orders, and to be emptied. It
+//! never ends the process: `shutdown` does.
 
 use super::Dispatch;
 use super::requests::Request;
