Names of the dispatch tell what they do

Rename: take is admit, leave is release_standing, heard (to a host) is confirm_release, owes is awaits_answer, next is next_ticket, closing is closing_since. No change of behaviour.

--- a/src/net/dispatch.rs
+++ b/src/net/dispatch.rs
@@ -108,13 +108,14 @@
     requests: BTreeMap<Ticket, Request>,
     by_id: BTreeMap<TaskId, Ticket>,
     ended: BTreeMap<TaskId, Ended>,
-    next: u64,
+    next_ticket: u64,
     connect_timeout: Micros,
     /// Hosts are called before anything is wanted of them: where connections have no price.
     warm: bool,
     known: Vec<FeedLine>,
     feed_up: bool,
-    closing: Option<Micros>,
+    /// When the process began to close.
+    closing_since: Option<Micros>,
     /// What balancers are told, where an operator's file asks for it.
     pub(super) watch: Option<Watch>,
     /// The connections of balancers.
@@ -179,12 +180,12 @@
             requests: BTreeMap::new(),
             by_id: BTreeMap::new(),
             ended: BTreeMap::new(),
-            next: 0,
+            next_ticket: 0,
             connect_timeout,
             warm,
             known: config.known,
             feed_up: false,
-            closing: None,
+            closing_since: None,
             watch,
             gate: Rc::new(Gate::new(operator.health.connections)),
             orders: Vec::new(),
--- a/src/net/dispatch/client_messages.rs
+++ b/src/net/dispatch/client_messages.rs
@@ -96,10 +96,10 @@
 
     /// A client gives a set-up up, on its connection, or ends a task that stands, on any.
     fn client_release(&mut self, now: Micros, client: ClientId, id: TaskId, cause: u8, held: Option<Ticket>) {
-        let open = held.and_then(|ticket| self.requests.get(&ticket)).filter(|r| r.owes());
+        let open = held.and_then(|ticket| self.requests.get(&ticket)).filter(|r| r.awaits_answer());
         match (held, open.map(|r| r.client == Some(client))) {
             (Some(ticket), Some(true)) => return self.gone(now, ticket),
-            (Some(ticket), None) => self.leave(now, ticket, cause),
+            (Some(ticket), None) => self.release_standing(now, ticket, cause),
             // Of no task here, or of another's set-up: it changes nothing.
             _ => {}
         }
@@ -124,7 +124,7 @@
             self.tally.ended(self.facade.class(&ask.class), Told::Failed);
             return self.answer_unfit(now, client, id);
         }
-        let ticket = self.take(now, id, client, &ask.class, State::Held);
+        let ticket = self.admit(now, id, client, &ask.class, State::Held);
         self.clients.waits(client, ticket);
         if let Some(request) = self.requests.get_mut(&ticket) {
             request.set_up = Some(set_up);
--- a/src/net/dispatch/host_messages.rs
+++ b/src/net/dispatch/host_messages.rs
@@ -23,7 +23,7 @@
         let known = ticket.and_then(|ticket| Some((ticket, self.requests.get(&ticket)?)));
         let Some((ticket, request)) = known else {
             if let HostWord::Down(cause, detail) = word {
-                self.heard(now, host, id);
+                self.confirm_release(now, host, id);
                 self.ended.insert(id, Ended { by: Some((host.clone(), cause, detail)), since: now });
             }
             return;
@@ -37,7 +37,7 @@
             },
             State::Standing { host: at, .. } | State::Leaving { host: at, .. } if at == host => match word {
                 HostWord::Down(cause, detail) => {
-                    self.heard(now, host, id);
+                    self.confirm_release(now, host, id);
                     self.end_standing(now, ticket, cause, detail);
                 }
                 HostWord::Tell(note, value) => {
@@ -101,7 +101,7 @@
     }
 
     /// Tells a host that its release was heard.
-    fn heard(&self, now: Micros, host: &HostId, id: TaskId) {
+    fn confirm_release(&self, now: Micros, host: &HostId, id: TaskId) {
         if let Some(Phase::Up(conn)) = self.hosts.get(host).map(|link| &link.phase) {
             conn.send(now, &lines::heard(id));
         }
--- a/src/net/dispatch/operating.rs
+++ b/src/net/dispatch/operating.rs
@@ -18,7 +18,7 @@
 
     /// Whether this process has been told to end.
     pub fn ends(&self) -> bool {
-        self.closing.is_some()
+        self.closing_since.is_some()
     }
 
     /// Closes connections that carry no task for as long as balancers' drain or maintenance or this duty wants it.
@@ -59,7 +59,7 @@
 
     /// Requests taken whose answer is owed.
     pub fn owed(&self) -> usize {
-        self.requests.values().filter(|r: &&Request| r.owes()).count()
+        self.requests.values().filter(|r: &&Request| r.awaits_answer()).count()
     }
 
     /// Requests taken that have not ended: those that wait for their answer, and tasks that stand.
--- a/src/net/dispatch/requests.rs
+++ b/src/net/dispatch/requests.rs
@@ -1,15 +1,15 @@
 //! Owns the table of requests: what a request is, which state it is in, and at which host. Every request comes into the
-//! table by `take`, changes its state by `enter` and leaves by `remove`, so that the lists beside the table
+//! table by `admit`, changes its state by `enter` and leaves by `remove`, so that the lists beside the table
 //! (`by_id`, `at_hosts`, `ended`) agree with it. It never decides a change, and never writes to a peer.
 //!
 //! ```text
 //!    set_up                                          adopt (a set-up with `at`)
 //!      │                                                │
-//!      ▼          offer                host answers     ▼       leave, move_away
+//!      ▼          offer               task_started      ▼     release_standing
 //!   ┌──────┐ ───────────────▶ ┌─────┐ ────────────▶ ┌──────────┐ ───────────▶ ┌─────────┐
 //!   │ Held │                  │ Out │               │ Standing │              │ Leaving │
 //!   └──────┘ ◀─────────────── └─────┘               └──────────┘              └─────────┘
-//!      │       end_attempt                              │                         │
+//!      │    end_attempt, task_over                      │                         │
 //!      │                                                │ end_standing: its       │ end_standing: its
 //!      │ answer: refused, failed, or                    │ host has released it,   │ host has released it,
 //!      │ the task's own time is over                    │ or it is lost           │ it is lost, or Due::Left
@@ -18,8 +18,9 @@
 //!   ═════════════════ remove: out of the table; its id is kept in `ended` ══════════════
 //! ```
 //!
-//! An answer is owed in `Held` and `Out` (`Request::owes`), and none after. Whatever ends a request that is out ends
-//! its attempt first. An offer that is out waits first (`round: None`), and has left once it has a round: see `offers`.
+//! An answer is owed in `Held` and `Out` (`Request::awaits_answer`), and none after. Whatever ends a request that is
+//! out ends its attempt first. An offer that is out waits first (`round: None`), and has left once it has a round: see
+//! `offers`.
 
 use super::{Dispatch, MILLI};
 use crate::net::clients::ClientId;
@@ -95,14 +96,14 @@
 
 impl Request {
     /// Whether its client waits for an answer.
-    pub(super) fn owes(&self) -> bool {
+    pub(super) fn awaits_answer(&self) -> bool {
         matches!(self.state, State::Held | State::Out { .. })
     }
 }
 
 impl Dispatch {
     /// A request comes into the table, under a ticket that is never used again.
-    pub(super) fn take(
+    pub(super) fn admit(
         &mut self,
         now: Micros,
         id: TaskId,
@@ -110,8 +111,8 @@
         class: &str,
         state: State,
     ) -> Ticket {
-        let ticket = Ticket(self.next);
-        self.next += 1;
+        let ticket = Ticket(self.next_ticket);
+        self.next_ticket += 1;
         self.by_id.insert(id, ticket);
         let aim = self.facade.aim(class).unwrap_or(MILLI).max(MILLI);
         let client = Some(client);
--- a/src/net/dispatch/shutdown.rs
+++ b/src/net/dispatch/shutdown.rs
@@ -70,8 +70,8 @@
     }
 
     pub(super) fn close_down(&mut self, now: Micros, within: Micros) {
-        if self.closing.is_none() {
-            self.closing = Some(now);
+        if self.closing_since.is_none() {
+            self.closing_since = Some(now);
             info!(requests = self.requests.len(), "closing");
             self.tell(now, News::Closing(within));
         }
@@ -87,7 +87,7 @@
         let now = self.clock.now();
         let end = self.closing_wait() + CLOSE_END;
         let ends = |since| if self.duty.leaves() { self.duty.overdue(now) } else { now - since >= end };
-        self.drained || self.closing.is_some_and(ends)
+        self.drained || self.closing_since.is_some_and(ends)
     }
 
     /// Whether the process may end.
@@ -96,12 +96,12 @@
         if self.drained {
             return true;
         }
-        let Some(since) = self.closing else { return false };
+        let Some(since) = self.closing_since else { return false };
         // A drain that has come to this tells itself when it is over.
         if self.watch.as_ref().is_some_and(Watch::draining) {
             return false;
         }
-        let clear = !self.requests.values().any(Request::owes) && self.clients.flushed();
+        let clear = !self.requests.values().any(Request::awaits_answer) && self.clients.flushed();
         if self.duty.leaves() {
             return (clear && self.clients.at_rest(now)) || self.duty.overdue(now);
         }
--- a/src/net/dispatch/standing.rs
+++ b/src/net/dispatch/standing.rs
@@ -38,7 +38,7 @@
             return self.clients.send(now, client, &binary::release(id, cause, None));
         }
         let state = State::Standing { attempt: 0, host: host.clone(), since: now };
-        let ticket = self.take(now, id, client, &set_up.ask.class, state);
+        let ticket = self.admit(now, id, client, &set_up.ask.class, state);
         self.stands_for(ticket, client);
         if self.hosts.contains_key(host) {
             self.clients.prove(client);
@@ -65,7 +65,7 @@
         if let State::Standing { since, .. } = request.state {
             let (id, home) = (request.id, request.home);
             self.tell_end(now, id, home, since, binary::moved(id));
-            self.leave(now, ticket, cause::CANCELLED);
+            self.release_standing(now, ticket, cause::CANCELLED);
         }
     }
 
@@ -79,7 +79,7 @@
     }
 
     /// Releases a task that stands at its host, on any connection, or on the next to open.
-    pub(super) fn leave(&mut self, now: Micros, ticket: Ticket, cause: u8) {
+    pub(super) fn release_standing(&mut self, now: Micros, ticket: Ticket, cause: u8) {
         let Some(request) = self.requests.get_mut(&ticket) else { return };
         let State::Standing { attempt, host, since } = &request.state else { return };
         let line = lines::release(request.id, cause);
--- a/src/net/dispatch/watching.rs
+++ b/src/net/dispatch/watching.rs
@@ -36,7 +36,11 @@
             roomy += u32::from(fits);
             full += u32::from(link.full_at.is_some_and(|at| now - at < FULL));
         }
-        let ages = self.requests.values().filter(|r| r.owes()).map(|r| (now - r.since) as f64 / r.aim as f64);
+        let ages = self
+            .requests
+            .values()
+            .filter(|r| r.awaits_answer())
+            .map(|r| (now - r.since) as f64 / r.aim as f64);
         let gauges = Gauges {
             oldest: ages.fold(0.0, f64::max),
             zones: zones.into_values().collect(),
