The working set is kept in proportion to what changes, not chosen anew from all machines

Change: `WorkingSet` (src/working_set.rs) keeps the order, the sums and the cut; `Placer::weigh` states a machine's part, and only machines of which something was learned are weighed: list entries, own binds, strikes, ends of suspensions. Sums are whole steps of 2^-24 mean tasks, so that a set kept for hours is the set chosen anew. The use by which machines are weighed is taken over at ticks, since it weighs all of them: at lists it is at most a tick old. Shown: proptests play the same random events to a placer that looks at what was touched and to one that looks at all machines (the same actions), and hold the choice against the former code (the same members, up to a tie of one part in a million). Eleven mutations of the guards were each seen to fail a test; without `touch` in `mark_full` none fails, since a bind goes before it.

--- /dev/null
+++ b/benches/decisions.rs
@@ -0,0 +1,133 @@
+//! What the module alone costs at the size of the fleet: an event of the list with one entry, a task that is placed and
+//! ends, and a tick, among 100 to 16,384 machines. No socket, no other process.
+//!
+//! `cargo bench --bench decisions [-- PLACERS]`; the placers that the settings state are 12 unless told otherwise.
+
+use anisehead::*;
+use std::sync::Arc;
+use std::time::Instant;
+
+const SIZES: [usize; 7] = [100, 400, 1_000, 2_000, 4_000, 7_300, 16_384];
+const EVENTS: usize = 2_000;
+const TASKS: usize = 1_000;
+const TICKS: usize = 200;
+const MS: Micros = 1_000;
+const SECOND: Micros = 1_000_000;
+/// Tasks of so many services come in turn.
+const SERVICES: usize = 200;
+
+/// Machine `n` with a third to two thirds of its cores free, other ones each time.
+fn entry(n: usize, time: usize) -> Entry {
+    let free = 10.0 + ((n * 7 + time * 13) % 11) as f64;
+    Entry {
+        host: HostId(Arc::from(format!("w-{n:06}"))),
+        zone: ZoneId(n % 7),
+        cell: CellId((n / 8) as u64),
+        kind: KindId(0),
+        state: HostState::Up,
+        ready_at: 0,
+        free_cores: free,
+        free_memory: 2.0 * free,
+    }
+}
+
+fn task(n: usize) -> Task {
+    Task {
+        id: ReqId(Arc::from(format!("{n:016x}"))),
+        service: ServiceId((n % SERVICES) as u64),
+        key: TaskKey(n as u64),
+        cores: 1.0,
+        memory: 2.0,
+        budget: 5 * SECOND,
+        ..Task::default()
+    }
+}
+
+/// A placer with its time and its next tick.
+struct Bench {
+    placer: Placer,
+    now: Micros,
+    actions: Vec<Action>,
+    tick: Option<(Micros, TimerToken)>,
+}
+
+impl Bench {
+    fn new(machines: usize, placers: usize) -> Bench {
+        let settings = Settings { placers, probes: false, report: Vec::new(), ..Settings::example() };
+        let placer = Placer::new(settings, 7);
+        let mut bench = Bench { placer, now: SECOND, actions: Vec::new(), tick: None };
+        let entries = (0..machines).map(|n| entry(n, 0)).collect();
+        bench.give(&Event::Members { kind: ListKind::Full, entries });
+        let ticks = bench.actions.iter().rev().find_map(|action| match action {
+            Action::SetTimer { token, after } => Some((bench.now + after, *token)),
+            _ => None,
+        });
+        bench.tick = ticks;
+        bench
+    }
+
+    fn give(&mut self, event: &Event) {
+        self.actions.clear();
+        self.placer.handle(self.now, event, &mut self.actions);
+    }
+
+    fn sent_to(&self) -> Option<HostId> {
+        self.actions.iter().find_map(|action| match action {
+            Action::Send { host, .. } => Some(host.clone()),
+            _ => None,
+        })
+    }
+
+    fn place(&mut self, n: usize) {
+        let task = task(n);
+        let id = task.id.clone();
+        self.give(&Event::Request(task));
+        if let Some(host) = self.sent_to() {
+            let first = Event::First { id: id.clone(), attempt: 0, host: host.clone(), elapsed: MS };
+            self.give(&first);
+            let (outcome, detail) = (Outcome::Ok, Detail::None);
+            let (attempt, done, elapsed, report) = (0, true, MS, Vec::new());
+            self.give(&Event::Outcome { id, attempt, host, outcome, detail, done, elapsed, report });
+        }
+    }
+
+    fn pass_tick(&mut self) {
+        let Some((due, token)) = self.tick else { return };
+        self.now = self.now.max(due);
+        self.give(&Event::Timer(token));
+        self.tick = self.actions.iter().find_map(|action| match action {
+            Action::SetTimer { token, after } => Some((self.now + after, *token)),
+            _ => None,
+        });
+    }
+}
+
+/// Microseconds for each of so many.
+fn each(count: usize, mut act: impl FnMut(usize)) -> f64 {
+    let start = Instant::now();
+    (0..count).for_each(&mut act);
+    start.elapsed().as_secs_f64() * 1e6 / count as f64
+}
+
+fn main() {
+    let stated = std::env::args().skip(1).find_map(|word| word.parse().ok());
+    let placers: usize = stated.unwrap_or(12);
+    println!(
+        "{:>8} {:>12} {:>12} {:>12}   {placers} placers stated",
+        "machines", "a list event", "a task", "a tick"
+    );
+    for machines in SIZES {
+        let mut bench = Bench::new(machines, placers);
+        let event = each(EVENTS, |n| {
+            bench.now += MS;
+            let entries = vec![entry(n * 31 % machines, n)];
+            bench.give(&Event::Members { kind: ListKind::Delta, entries });
+        });
+        let task = each(TASKS, |n| {
+            bench.now += MS;
+            bench.place(n);
+        });
+        let tick = each(TICKS, |_| bench.pass_tick());
+        println!("{machines:>8} {event:>9.1} us {task:>9.1} us {tick:>9.1} us");
+    }
+}
--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -94,6 +94,8 @@
     /// Processes that act as this placer, less this one, and the number of this one.
     pub beside: u32,
     pub process: u32,
+    /// Machines of which something was learned since the working set was chosen last.
+    pub touched: BTreeSet<Place>,
     places: BTreeMap<HostId, Place>,
 }
 
@@ -102,6 +104,12 @@
         self.places.get(host).copied()
     }
 
+    /// A machine whose load changes: the working set looks at it again.
+    pub fn touch(&mut self, at: Place) -> &mut Machine {
+        self.touched.insert(at);
+        &mut self.machines[at]
+    }
+
     /// The machine of a list entry, brought up to date; true with it where its process is a new one.
     pub fn update(&mut self, e: &Entry) -> (&mut Machine, Place, bool) {
         let next = self.machines.len();
@@ -126,7 +134,7 @@
                 probed_at: 0,
             });
         }
-        let m = &mut self.machines[at];
+        let m = self.touch(at);
         let renewed = m.ready_at != e.ready_at;
         if renewed {
             m.renew();
@@ -168,8 +176,9 @@
     pub fn keep_only(&mut self, entries: &[Entry]) {
         let named: BTreeSet<Place> = entries.iter().filter_map(|e| self.place(&e.host)).collect();
         for (at, m) in self.machines.iter_mut().enumerate() {
-            if !named.contains(&at) {
+            if !named.contains(&at) && m.state != HostState::Gone {
                 m.state = HostState::Gone;
+                self.touched.insert(at);
             }
         }
     }
@@ -317,61 +326,75 @@
 
 /// Failures of all machines, by scope.
 #[derive(Debug, Default)]
-pub(crate) struct HealthBook(BTreeMap<Place, BTreeMap<Scope, Health>>);
+pub(crate) struct HealthBook {
+    machines: BTreeMap<Place, BTreeMap<Scope, Health>>,
+    /// Machines whose failures were looked at to be changed since [`HealthBook::changed`] was asked last.
+    changed: BTreeSet<Place>,
+    /// When suspensions of whole machines end.
+    ends: BTreeSet<(Micros, Place)>,
+}
 
 impl HealthBook {
     pub fn of(&self, at: Place, scope: Scope) -> Option<&Health> {
-        self.0.get(&at)?.get(&scope)
+        self.machines.get(&at)?.get(&scope)
     }
 
     pub fn at(&self, at: Place) -> impl Iterator<Item = (&Scope, &Health)> {
-        self.0.get(&at).into_iter().flatten()
+        self.machines.get(&at).into_iter().flatten()
     }
 
     pub fn entry(&mut self, at: Place, scope: Scope) -> &mut Health {
-        self.0.entry(at).or_default().entry(scope).or_default()
+        self.changed.insert(at);
+        self.machines.entry(at).or_default().entry(scope).or_default()
+    }
+
+    /// A machine was struck: the end of its suspension as a whole, if there is one, is noted.
+    pub fn suspended(&mut self, at: Place) {
+        if let Some(until) = self.of(at, Scope::Machine).map(|h| h.until) {
+            self.ends.insert((until, at));
+        }
+    }
+
+    /// Machines whose suspension may have begun or ended since this was asked last.
+    pub fn changed(&mut self, now: Micros) -> BTreeSet<Place> {
+        let mut changed = std::mem::take(&mut self.changed);
+        while let Some(&(until, at)) = self.ends.first() {
+            if until > now {
+                break;
+            }
+            self.ends.pop_first();
+            changed.insert(at);
+        }
+        changed
     }
 
     /// Halves the strikes of a scope.
     pub fn ease(&mut self, at: Place, scope: Scope) {
-        if let Some(h) = self.0.get_mut(&at).and_then(|scopes| scopes.get_mut(&scope)) {
+        if let Some(h) = self.machines.get_mut(&at).and_then(|scopes| scopes.get_mut(&scope)) {
             h.strikes /= 2;
         }
     }
 
     /// An answered probe: the machine is there. It says nothing of a class or tenant.
     pub fn answered(&mut self, at: Place) {
-        if let Some(h) = self.0.get_mut(&at).and_then(|scopes| scopes.get_mut(&Scope::Machine)) {
+        if let Some(h) = self.machines.get_mut(&at).and_then(|scopes| scopes.get_mut(&Scope::Machine)) {
             h.on_trial = false;
+            self.changed.insert(at);
         }
     }
 
     pub fn forget(&mut self, at: Place) {
-        self.0.remove(&at);
+        self.machines.remove(&at);
+        self.changed.insert(at);
     }
 
     /// Machines on trial whose suspension is over.
     pub fn trials(&self, now: Micros) -> Vec<Place> {
         let due = |scopes: &BTreeMap<Scope, Health>| scopes.values().any(|h| h.on_trial && now >= h.until);
-        self.0.iter().filter(|(_, scopes)| due(scopes)).map(|(at, _)| *at).collect()
+        self.machines.iter().filter(|(_, scopes)| due(scopes)).map(|(at, _)| *at).collect()
     }
 }
 
-/// The machines chosen to hold all tasks, as of the last choice.
-#[derive(Debug, Default)]
-pub(crate) struct WorkingSet {
-    pub members: Vec<Place>,
-    /// All machines that are up.
-    pub up: Vec<Place>,
-    /// Mean fullness and size of the members.
-    pub mean: f64,
-    pub mu: f64,
-    /// Mean tasks that all well machines have room for in view.
-    pub room: f64,
-    /// The services' homes among the members, by rank.
-    pub homes: BTreeMap<ServiceId, Vec<Place>>,
-}
-
 /// What is let through, as bounded from outside.
 #[derive(Debug)]
 pub(crate) struct Gate {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -38,6 +38,7 @@
 pub mod overload;
 mod policy;
 pub mod settings;
+mod working_set;
 
 pub use interface::*;
 pub use policy::{Placer, scd_probabilities};
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -6,6 +6,7 @@
 
 use crate::interface::*;
 use crate::ledger::*;
+use crate::working_set::{Part, WorkingSet};
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::{RngCore, SeedableRng};
 use std::collections::{BTreeSet, VecDeque};
@@ -113,7 +114,7 @@
             health: HealthBook::default(),
             arrivals: VecDeque::new(),
             stall: (0, 0),
-            set: WorkingSet::default(),
+            set: WorkingSet::new(PRIOR_USE),
             ticking: false,
             probe_credit: 0.0,
             discovery: Discovery::default(),
@@ -216,7 +217,7 @@
         let told = |field| self.s.report.iter().zip(values).find(|(f, _)| **f == field).map(|(_, v)| *v);
         if let (Some(c), Some(m)) = (told(ReportField::FreeCores), told(ReportField::FreeMemory)) {
             let as_of = self.now - (self.window as f64 * REPORT_LAG_OF_AIM) as Micros;
-            self.fleet.machines[at].see([size[0] - c, size[1] - m], as_of);
+            self.fleet.touch(at).see([size[0] - c, size[1] - m], as_of);
         }
     }
 
@@ -241,6 +242,7 @@
             h.strikes += 1;
         }
         h.on_trial = scope == Scope::Machine && self.s.probes;
+        self.health.suspended(at);
     }
 
     fn shut(&self, at: Place, scope: Scope) -> bool {
@@ -259,7 +261,7 @@
 
     fn bind(&mut self, at: Place, asks: [f64; 2], sign: f64) {
         let since = self.now - 2 * self.list_lag();
-        self.fleet.machines[at].bind(self.now, asks.map(|v| sign * v), since);
+        self.fleet.touch(at).bind(self.now, asks.map(|v| sign * v), since);
     }
 
     /// Cores and memory of a kind. Never zero, so that odd settings divide by nothing.
@@ -408,7 +410,7 @@
     /// A refusal for room: the view was too low, so it is raised to the machine's limit.
     fn mark_full(&mut self, at: Place, detail: Detail) {
         let size = self.size(self.fleet.machines[at].kind);
-        let m = &mut self.fleet.machines[at];
+        let m = self.fleet.touch(at);
         let mut asked = m.asked();
         if detail == Detail::NoCores {
             asked[0] = asked[0].max(size[0] * self.s.accepts_cores);
@@ -425,6 +427,7 @@
                     self.stall = (self.now, self.now - due);
                 }
                 self.alarms.add(self.now, self.tick_gap(), Alarm::Tick, out);
+                self.take_use();
                 self.choose_set();
                 self.watch(out);
                 self.retry_waiting(out);
@@ -459,7 +462,7 @@
         }
         let seen = |m: &Machine| m.seen.map_or(m.probed_at, |t| t.max(m.probed_at));
         let mut stale: Vec<(Micros, Place)> =
-            self.set.members.iter().map(|&at| (seen(&self.fleet.machines[at]), at)).collect();
+            self.set.members().map(|at| (seen(&self.fleet.machines[at]), at)).collect();
         stale.retain(|(seen, _)| self.now - seen > STALE_AIMS * self.window);
         stale.sort_unstable();
         for (_, at) in stale {
@@ -546,7 +549,7 @@
 
     /// Use as a part of what is asked, learned from notes.
     fn use_ratio(&self, dim: usize) -> f64 {
-        let prior = PRIOR_TASKS * [self.s.mean_cores, self.s.mean_memory][dim];
+        let prior = PRIOR_TASKS * [self.s.mean_cores, self.s.mean_memory][dim].max(f64::MIN_POSITIVE);
         let ratio = (self.jobs.use_used[dim] + PRIOR_USE[dim] * prior) / (self.jobs.use_asked[dim] + prior);
         ratio.clamp(0.05, 2.0)
     }
@@ -587,41 +590,39 @@
 
     /// The machines that all tasks need, chosen alike by every placer from what the list shows:
     /// fuller ones first (in coarse steps), then by id. Narrows eligibility so that idle machines
-    /// stay idle; grows with demand. Chosen again on each list and tick.
+    /// stay idle; grows with demand. Chosen again on each list and tick: what has changed is looked at.
     fn choose_set(&mut self) {
-        let (mut need, mut room) = (0.0, 0.0);
-        let mut order = Vec::new();
-        let up = |at: &Place| self.fleet.machines[*at].state == HostState::Up;
-        self.set.up = (0..self.fleet.machines.len()).filter(up).collect();
-        for (at, m) in self.fleet.machines.iter().enumerate().filter(|(_, m)| m.state != HostState::Gone) {
-            let full = self.fullness(m, [0.0; 2]);
-            need += full * self.mu(m);
-            if m.state == HostState::Up && !self.shut(at, Scope::Machine) {
-                let tasks = self.mu(m) * self.calm() / self.use_ratio(0);
-                room += (OFFER_FILL - full).max(0.0) * tasks;
-                order.push((-(full.min(SET_ALIKE) * SET_STEPS) as i64, &m.host, at));
-            }
-        }
-        order.sort_unstable();
-        let mut have = 0.0;
-        let mut set = Vec::new();
-        for (_, _, at) in order {
-            if have * SET_FILL >= need && !set.is_empty() {
-                break;
-            }
-            have += self.mu(&self.fleet.machines[at]);
-            set.push(at);
+        self.fleet.touched.extend(self.health.changed(self.now));
+        std::mem::take(&mut self.fleet.touched).into_iter().for_each(|at| self.weigh(at));
+        if self.set.cut(SET_FILL) {
+            self.set.homes.clear();
         }
-        let full = |at: &Place| {
-            let m = &self.fleet.machines[*at];
-            self.fullness(m, [0.0; 2]) * self.mu(m)
+    }
+
+    /// A machine's part in that choice.
+    fn weigh(&mut self, at: Place) {
+        let m = &self.fleet.machines[at];
+        let (full, mu) = (self.fill(m, m.asked(), self.set.used), self.mu(m));
+        let (up, gone) = (m.state == HostState::Up, m.state == HostState::Gone);
+        let well = up && !self.shut(at, Scope::Machine);
+        let tasks = mu * self.calm() / self.set.used[0];
+        let part = Part {
+            up,
+            rank: well.then_some(-(full.min(SET_ALIKE) * SET_STEPS) as i64),
+            size: mu,
+            need: if gone { 0.0 } else { full * mu },
+            room: if well { (OFFER_FILL - full).max(0.0) * tasks } else { 0.0 },
         };
-        self.set.mean = set.iter().map(full).sum::<f64>() / have.max(f64::MIN_POSITIVE);
-        self.set.mu = have;
-        self.set.room = room;
-        if set != self.set.members {
-            self.set.members = set;
-            self.set.homes.clear();
+        self.set.put(at, &m.host, part);
+    }
+
+    /// The use by which machines are weighed: learned with each note, and taken over at ticks, since it weighs all
+    /// of them anew.
+    fn take_use(&mut self) {
+        let used = [self.use_ratio(0), self.use_ratio(1)];
+        if used != self.set.used {
+            self.set.used = used;
+            (0..self.fleet.machines.len()).for_each(|at| self.weigh(at));
         }
     }
 
@@ -633,12 +634,12 @@
             return;
         }
         let mean = [self.s.mean_cores, self.s.mean_memory];
-        let rank = |at: &Place| {
-            let m = &self.fleet.machines[*at];
+        let rank = |at: Place| {
+            let m = &self.fleet.machines[at];
             let u = (mix(m.hash, service.0) >> 11) as f64 + 1.0;
             (53.0 - u.log2()) * self.fill(m, mean, PRIOR_USE)
         };
-        let mut ranked: Vec<(f64, Place)> = self.set.members.iter().map(|at| (rank(at), *at)).collect();
+        let mut ranked: Vec<(f64, Place)> = self.set.members().map(|at| (rank(at), at)).collect();
         ranked.sort_unstable_by(|x, y| x.0.total_cmp(&y.0).then(x.1.cmp(&y.1)));
         let mut homes: Vec<Place> = ranked.into_iter().map(|(_, at)| at).collect();
         homes.truncate(RANKED);
@@ -673,7 +674,7 @@
             let well = |at: Place| !scopes.iter().any(|scope| self.shut(at, *scope));
             let good = |at: &Place| well(*at) && room(*at) && fit(*at);
             let slack =
-                |at: &Place| self.fullness(&self.fleet.machines[*at], asks) <= self.set.mean * HOME_OVER;
+                |at: &Place| self.fullness(&self.fleet.machines[*at], asks) <= self.set.mean() * HOME_OVER;
             let own = self.jobs.of_service(service).map(|(at, _)| at);
             let own: Vec<Place> = own.filter(|at| good(at)).collect();
             if !heavy && own.iter().any(slack) {
@@ -682,20 +683,20 @@
             let homes: Vec<Place> = homes.iter().copied().filter(good).collect();
             if !homes.is_empty() {
                 let count = homes.iter().position(slack).map_or(homes.len(), |i| i + 1);
-                let own = own.into_iter().filter(|at| self.set.members.contains(at));
+                let member = |at: &Place| self.set.contains(*at, &self.fleet.machines[*at].host);
+                let own = own.into_iter().filter(member);
                 let circle: BTreeSet<Place> = homes[..count].iter().copied().chain(own).collect();
                 return circle.into_iter().collect();
             }
-            for circle in [&self.set.members, &self.set.up] {
-                let circle: Vec<Place> = circle.iter().copied().filter(good).collect();
-                if !circle.is_empty() {
-                    return circle;
-                }
+            let members: Vec<Place> = self.set.members().filter(good).collect();
+            let circle = if members.is_empty() { self.set.up().filter(good).collect() } else { members };
+            if !circle.is_empty() {
+                return circle;
             }
         }
-        if self.set.up.iter().all(|at| self.shut(*at, Scope::Machine)) {
+        if self.set.up().all(|at| self.shut(at, Scope::Machine)) {
             let open = |at: Place| self.fleet.machines[at].open(f64::INFINITY);
-            return self.set.up.iter().copied().filter(|at| fit(*at) && open(*at)).collect();
+            return self.set.up().filter(|at| fit(*at) && open(*at)).collect();
         }
         Vec::new()
     }
@@ -737,7 +738,7 @@
         let load =
             |m: &Machine| (if m.seen.is_some() { self.load(m) } else { mean * self.mu(m) }, self.mu(m));
         let loads: Vec<(f64, f64)> = machines().map(load).collect();
-        let a = self.arrivals_everywhere() * (mus / self.set.mu.max(f64::MIN_POSITIVE)).min(1.0);
+        let a = self.arrivals_everywhere() * (mus / self.set.size().max(f64::MIN_POSITIVE)).min(1.0);
         let p = scd_probabilities(&loads, a.max(1.0));
         let mut x = self.chance();
         let mut last = None;
@@ -781,7 +782,7 @@
         let waiting = self.jobs.waiting.len() as f64 * self.s.placers as f64;
         let wanted = self.arrivals_everywhere() * lag / self.window as f64 + waiting;
         let ticks = lag / self.tick_gap() as f64;
-        self.chance() * wanted * ticks >= self.set.room
+        self.chance() * wanted * ticks >= self.set.room()
     }
 
     /// A seeded number from 0 to 1.
@@ -944,3 +945,6 @@
     }
     0.0
 }
+
+#[cfg(test)]
+mod tests;
