A list of 16,384 hosts in one line is read, and an event of the list counts hosts no more

Cause: a line of the feed was bounded by 1 MiB, and a whole list of 7,300 hosts takes some 1.2 MB: `reason=malformed:too-long`, and the feed was called again and again while nothing of it was known. Nothing below 16,384 hosts is to be a cap. Two more costs grew with the fleet: `update_hosts` counted all hosts at each event, and `next_line` looked byte by byte through all of a long line at each read. Change: MOST_BYTES is 16,384 hosts of 512 bytes; the count goes up and down with the entries; memchr looks for the line's end. Tests (tests/large_lists.rs, real processes): a whole list of 7,300 and of 16,384 in one line; 1,000 entries in one line and 1,000 lines of one entry; a drain in a whole list between 3,000 other events. Seen to fail with the 1 MiB cap, with a count that does not go down, and with a listed state that is ignored.

--- a/src/net/codec/feed.rs
+++ b/src/net/codec/feed.rs
@@ -9,8 +9,12 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+/// The most hosts that a list may name.
+const MOST_HOSTS: usize = 16_384;
+/// What an entry of the list may take; most take some 170 bytes.
+const MOST_ENTRY_BYTES: usize = 512;
 /// No line of the feed holds more: the whole list may be one line.
-pub const MOST_BYTES: usize = 1024 * 1024;
+pub const MOST_BYTES: usize = MOST_HOSTS * MOST_ENTRY_BYTES;
 
 /// One host of the list, and the address where it listens.
 #[derive(Debug, Clone)]
--- a/src/net/codec/mod.rs
+++ b/src/net/codec/mod.rs
@@ -80,7 +80,7 @@
 
 /// Takes the next line out of what has come in, without its line feed.
 pub fn next_line(inbox: &mut Vec<u8>, most: usize) -> Result<Option<Vec<u8>>, Malformed> {
-    match inbox.iter().position(|b| *b == b'\n') {
+    match memchr::memchr(b'\n', inbox) {
         Some(end) if end < most => {
             let mut line: Vec<u8> = inbox.drain(..=end).collect();
             line.pop();
--- a/src/net/dispatch/links.rs
+++ b/src/net/dispatch/links.rs
@@ -80,14 +80,18 @@
         if whole {
             let named: std::collections::BTreeSet<&HostId> = hosts.iter().map(|h| &h.entry.host).collect();
             for (host, link) in self.hosts.iter_mut().filter(|(host, _)| !named.contains(host)) {
+                self.in_use -= usize::from(link.state != HostState::Gone);
                 link.state = HostState::Gone;
                 touched.push(host.clone());
             }
         }
         let mut entries = Vec::with_capacity(hosts.len());
         for listed in hosts {
+            let before = self.hosts.get(&listed.entry.host).map_or(HostState::Gone, |link| link.state);
             let link = self.hosts.entry(listed.entry.host.clone()).or_insert_with(|| Link::new(&listed));
             let Listed { entry, dial } = listed;
+            self.in_use += usize::from(entry.state != HostState::Gone);
+            self.in_use -= usize::from(before != HostState::Gone);
             if entry.state != HostState::Up || link.born != entry.ready_at {
                 recalled.append(&mut link.waiting);
             }
@@ -103,7 +107,6 @@
             touched.push(entry.host.clone());
             entries.push(entry);
         }
-        self.in_use = self.hosts.values().filter(|link| link.state != HostState::Gone).count();
         self.share_out();
         for host in &touched {
             let Some(link) = self.hosts.get_mut(host) else { continue };
--- /dev/null
+++ b/tests/large_lists.rs
@@ -0,0 +1,138 @@
+//! Lists of thousands of hosts, and floods of the feed: what matters in them is acted on at once.
+
+use simd_json::prelude::*;
+use simd_json::{OwnedValue, json};
+use standin::{Feed, Host, HostConn, LIMIT, Program, QUIET, config, event, hex, until};
+use std::io::{BufRead, BufReader, Write};
+use std::net::TcpStream;
+use std::time::Duration;
+
+/// As many hosts as a fleet may have.
+const FLEET: usize = 16_384;
+/// A whole list of so many is longer than a mebibyte.
+const LARGE: usize = 7_300;
+
+/// The entry of a host that is full: it is listed, and nothing is offered to it.
+fn full(n: usize, state: &str, free_cores: i32) -> OwnedValue {
+    json!({
+        "host": format!("worker-{n:06}"), "dial": format!("127.1.{}.{}:9", n / 250, 1 + n % 250),
+        "site": "south", "class": "plain", "block": n / 8, "health": state, "share": 1, "born_ms": 0,
+        "unasked": [free_cores, -80]
+    })
+}
+
+/// How many hosts the program says that it knows.
+fn hosts_known(admin: &str) -> Option<u64> {
+    let mut stream = TcpStream::connect(admin).ok()?;
+    stream.set_read_timeout(Some(LIMIT)).ok()?;
+    stream.write_all(b"vars\n").ok()?;
+    let mut line = String::new();
+    let mut reader = BufReader::new(stream);
+    while reader.read_line(&mut line).ok()? > 0 {
+        if let Some(start) = line.find('{') {
+            let mut json = line.as_bytes().get(start..)?.to_vec();
+            return simd_json::to_owned_value(&mut json).ok()?.get_u64("hosts_known");
+        }
+        line.clear();
+    }
+    None
+}
+
+/// A program that may be called, with one host that takes tasks and a feed that it follows.
+fn start() -> (Program, Feed, Host, HostConn, String) {
+    let mut feed = Feed::new();
+    let host = Host::new("h0", "north");
+    let mut config = config(&feed, vec![host.entry("up", 0)]);
+    let admin = standin::free_address().to_string();
+    config.insert("admin", admin.as_str()).expect("an object");
+    // Hosts are called when something is wanted of them.
+    config["settings"]["prices"] = json!({ "fleet": 0.15, "moves": 0.07, "handshake": 0.01 });
+    config["limits"]["sockets"] = json!(256);
+    let program = Program::start(&config);
+    assert_eq!(feed.subscribed(), 1);
+    feed.tell(&json!({ "n": 1 }));
+    let mut client = program.owner();
+    assert!(client.test());
+    let conn = place(&program, &host, 1);
+    (program, feed, host, conn, admin)
+}
+
+fn place(program: &Program, host: &Host, id: u64) -> HostConn {
+    let mut client = program.owner();
+    client.set_up(id, &standin::Ask { class: "quick", wait_ms: 6_000, service: id, at: None });
+    let mut conn = host.accept();
+    assert_eq!(conn.offer(), hex(id));
+    conn.up(&hex(id));
+    assert_eq!(client.read().kind, 9);
+    conn
+}
+
+/// The whole list in one line is followed, whatever its length: the placer went round in calls to the feed, and knew
+/// nothing of what it told, where the list was longer than a mebibyte.
+#[test]
+fn a_whole_list_of_thousands_of_hosts_in_one_line_is_followed() {
+    for count in [LARGE, FLEET] {
+        let (program, mut feed, host, _conn, admin) = start();
+        let mut hosts: Vec<OwnedValue> = (0..count - 1).map(|n| full(n, "up", -40)).collect();
+        hosts.push(host.entry("up", 0));
+        let line = event(2, true, hosts);
+        assert!(line.encode().len() > 1_048_576, "the case needs a long line");
+        feed.tell(&line);
+        until("all are known", || {
+            assert!(!program.log().contains("too-long"), "{}", program.log());
+            (hosts_known(&admin) == Some(count as u64)).then_some(())
+        });
+    }
+}
+
+/// So many entries in one line, and as many lines of one entry, come to the same.
+#[test]
+fn a_thousand_entries_in_one_line_and_a_thousand_lines_of_one_entry_come_to_the_same() {
+    let (program, mut feed, _host, mut conn, admin) = start();
+    feed.tell(&event(2, false, (0..1_000).map(|n| full(n, "up", -40)).collect()));
+    until("all are known", || (hosts_known(&admin) == Some(1_001)).then_some(()));
+    for n in 0..1_000 {
+        feed.tell(&event(3 + n as u64, false, vec![full(n, "removed", -40)]));
+    }
+    until("all are gone", || (hosts_known(&admin) == Some(1)).then_some(()));
+    let mut client = program.owner();
+    client.set_up(7, &standin::Ask { class: "quick", wait_ms: 6_000, service: 7, at: None });
+    assert_eq!(conn.offer(), hex(7), "the host that was not named is as it was");
+}
+
+/// A drain that is told between thousands of other events, and a whole list among them, holds from when it was told:
+/// all that the program was told before it next runs is read before a task that came after it is placed.
+#[test]
+fn a_drain_in_a_flood_of_events_is_not_late() {
+    let (program, mut feed, first, mut conn, _admin) = start();
+    let second = Host::new("h1", "south");
+    let mut number = 1;
+    let mut tell = |feed: &mut Feed, whole: bool, hosts: Vec<OwnedValue>| {
+        number += 1;
+        feed.tell(&event(number, whole, hosts));
+    };
+    for n in 0..1_500 {
+        tell(&mut feed, false, vec![full(n, "up", -40)]);
+    }
+    let mut all: Vec<OwnedValue> = (0..1_500).map(|n| full(n, "up", -40)).collect();
+    all.push(second.entry("up", 0));
+    all.push(first.entry("draining", 0));
+    tell(&mut feed, true, all);
+    for n in 0..1_500 {
+        tell(&mut feed, false, vec![full(n, "up", -41)]);
+    }
+    // The grace of a drain is 2 s in these settings; this is far less, and far more than the flood takes.
+    std::thread::sleep(Duration::from_millis(1_500));
+    let mut client = program.owner();
+    for id in 100..108 {
+        client.set_up(id, &standin::Ask { class: "once", wait_ms: 6_000, service: id, at: None });
+    }
+    let mut there = second.accept();
+    for id in 100..108 {
+        assert_eq!(there.offer(), hex(id), "offers go to the host that is up, in order");
+    }
+    assert!(
+        conn.read_within(QUIET).is_none_or(|m| m.get_str("t") != Some("new")),
+        "nothing goes to the other"
+    );
+}
