Homes of a service are ranked without sorting the whole working set

Change: `k_smallest_by` of itertools keeps eight while it walks. The homes are the same, in the same order.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -7,6 +7,7 @@
 use crate::interface::*;
 use crate::ledger::*;
 use crate::working_set::{Part, WorkingSet};
+use itertools::Itertools;
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::{RngCore, SeedableRng};
 use std::collections::{BTreeSet, VecDeque};
@@ -616,8 +617,8 @@
         self.set.put(at, &m.host, part);
     }
 
-    /// The use by which machines are weighed: learned with each note, and taken over at ticks, since it weighs all
-    /// of them anew.
+    /// The use by which machines are weighed: learned with each note, and taken over at ticks, since all of
+    /// them are weighed anew by it.
     fn take_use(&mut self) {
         let used = [self.use_ratio(0), self.use_ratio(1)];
         if used != self.set.used {
@@ -639,10 +640,9 @@
             let u = (mix(m.hash, service.0) >> 11) as f64 + 1.0;
             (53.0 - u.log2()) * self.fill(m, mean, PRIOR_USE)
         };
-        let mut ranked: Vec<(f64, Place)> = self.set.members().map(|at| (rank(at), at)).collect();
-        ranked.sort_unstable_by(|x, y| x.0.total_cmp(&y.0).then(x.1.cmp(&y.1)));
-        let mut homes: Vec<Place> = ranked.into_iter().map(|(_, at)| at).collect();
-        homes.truncate(RANKED);
+        let order = |x: &(f64, Place), y: &(f64, Place)| x.0.total_cmp(&y.0).then(x.1.cmp(&y.1));
+        let ranked = self.set.members().map(|at| (rank(at), at)).k_smallest_by(RANKED, order);
+        let homes = ranked.map(|(_, at)| at).collect();
         self.set.homes.insert(service, homes);
     }
 
