--- a/tests/large_lists.rs
+++ b/tests/large_lists.rs
@@ -51,14 +51,14 @@
     let program = Program::start(&config);
     assert_eq!(feed.subscribed(), 1);
     feed.tell(&json!({ "n": 1 }));
-    let mut client = program.owner();
+    let mut client = program.client();
     assert!(client.test());
     let conn = place(&program, &host, 1);
     (program, feed, host, conn, admin)
 }
 
 fn place(program: &Program, host: &Host, id: u64) -> HostConn {
-    let mut client = program.owner();
+    let mut client = program.client();
     client.set_up(id, &standin::Ask { class: "quick", wait_ms: 6_000, service: id, at: None });
     let mut conn = host.accept();
     assert_eq!(conn.offer(), hex(id));
@@ -95,7 +95,7 @@
         feed.tell(&event(3 + n as u64, false, vec![full(n, "removed", -40)]));
     }
     until("all are gone", || (hosts_known(&admin) == Some(1)).then_some(()));
-    let mut client = program.owner();
+    let mut client = program.client();
     client.set_up(7, &standin::Ask { class: "quick", wait_ms: 6_000, service: 7, at: None });
     assert_eq!(conn.offer(), hex(7), "the host that was not named is as it was");
 }
@@ -123,7 +123,7 @@
     }
     // The grace of a drain is 2 s in these settings; this is far less, and far more than the flood takes.
     std::thread::sleep(Duration::from_millis(1_500));
-    let mut client = program.owner();
+    let mut client = program.client();
     for id in 100..108 {
         client.set_up(id, &standin::Ask { class: "once", wait_ms: 6_000, service: id, at: None });
     }
