--- /dev/null
+++ b/crates/scale/src/deployment.rs
@@ -0,0 +1,151 @@
+//! The configuration that a placer reads at its start.
+
+use crate::identity::PlacerId;
+use crate::settings::{Connect, Settings};
+use crate::wire::feed::WORKER_KIND;
+use serde_json::{Value, json};
+use std::net::SocketAddr;
+
+/// What a connection costs where placers are to make them on demand; any price above 0 says so.
+const PRICE_OF_A_CONNECTION: f64 = 0.05;
+
+/// The classes of tasks.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Class {
+    /// Safe to repeat.
+    Standard,
+    /// Safe to repeat, with a short aim.
+    Urgent,
+    /// Must not start twice.
+    Once,
+}
+
+impl Class {
+    /// All of them, in the order of the settings.
+    pub const ALL: [Class; 3] = [Class::Standard, Class::Urgent, Class::Once];
+
+    /// Its name in the settings.
+    pub fn name(self) -> &'static str {
+        match self {
+            Class::Standard => "standard",
+            Class::Urgent => "urgent",
+            Class::Once => "once",
+        }
+    }
+
+    /// The time to an answer that is aimed for, in milliseconds.
+    pub fn aim_ms(self) -> u64 {
+        match self {
+            Class::Standard | Class::Once => 4_000,
+            Class::Urgent => 1_700,
+        }
+    }
+
+    /// How long a client waits for an answer, in milliseconds.
+    pub fn wait_ms(self) -> u64 {
+        match self {
+            Class::Standard | Class::Once => 8_000,
+            Class::Urgent => 4_000,
+        }
+    }
+
+    /// Whether a task of it must not start twice.
+    pub fn once(self) -> bool {
+        self == Class::Once
+    }
+
+    fn semantics(self) -> &'static str {
+        if self.once() { "unsafe" } else { "safe" }
+    }
+
+    fn as_setting(self) -> Value {
+        json!({
+            "name": self.name(), "aim": self.aim_ms(), "hard_limit": self.wait_ms(),
+            "semantics": self.semantics(), "group": "all", "worth": 1.0, "late_share": 0.2,
+            "memory_span": 5000.0, "long_lived": true
+        })
+    }
+}
+
+/// Where a placer stands in its deployment.
+pub struct Place<'a> {
+    /// Which it is.
+    pub placer: PlacerId,
+    /// How often it was started before.
+    pub restarts: u32,
+    /// Where clients call it.
+    pub listen: SocketAddr,
+    /// Its control feed.
+    pub feed: SocketAddr,
+    /// The feed's events so far, as JSON.
+    pub known: &'a str,
+}
+
+/// The configuration file of a placer.
+pub fn configuration(settings: &Settings, place: &Place<'_>) -> String {
+    // Another seed with each start, and alike in each run of the same settings.
+    let seed = settings.seed ^ (u64::from(place.placer.0) << 32) ^ (u64::from(place.restarts) << 48);
+    let head = json!({
+        "name": place.placer.to_string(), "listen": place.listen, "feed": place.feed,
+        "seed": format!("{seed:016x}"),
+        "limits": {
+            "cores": 1.0, "memory_mb": settings.placer_memory_mb, "sockets": settings.placer_sockets
+        },
+        "settings": deployment(settings, place.placer),
+    });
+    // The events are text already, and long: they are put in as they are.
+    let head = head.to_string();
+    let open = head.strip_suffix('}').unwrap_or(&head);
+    format!("{open},\"known\":{}}}", place.known)
+}
+
+fn deployment(settings: &Settings, placer: PlacerId) -> Value {
+    let zones = settings.zone_names();
+    let own_zone = zones.get(placer.index() % zones.len().max(1));
+    let tenants = settings.tenant_names();
+    let share = 1.0 / tenants.len().max(1) as f64;
+    // Twice the whole rate: no tenant is held back in a run that keeps to its settings.
+    let allowance = 2.0 * settings.rate.max(1.0);
+    let tenants = tenants.iter().map(|name| {
+        json!({ "name": name, "portion": share, "allowance_per_s": allowance })
+    });
+    let classes = Class::ALL.map(Class::as_setting);
+    json!({
+        "me": placer.0, "n_instances": settings.stated_placers(), "locality": own_zone, "zones": zones,
+        "step": 2.0, "models": [WORKER_KIND], "membership_mode": "subscribe", "over_share_worth": 0.1,
+        "services": classes,
+        "realms": tenants.collect::<Vec<_>>(),
+        "caps": {
+            "cancel": true, "connect_timeout": 250.0, "conn_idle": 30000.0, "max_retry_after": 3000.0,
+            "probing": false, "retry_after": true, "send_cap": 4
+        },
+        "family_info": family(settings),
+        "prices": prices(settings),
+        "report": { "names": [], "via": "off" },
+        "rules": {
+            "ask_every": 10000.0, "cold": 17000.0, "cold_from": 0.22, "drain_grace": 2000.0,
+            "grace_to_answer": 8.0, "overload_factor": 4.0, "overload_for": 1000.0
+        }
+    })
+}
+
+fn family(settings: &Settings) -> Value {
+    let start_s = settings.start_time.as_secs_f64();
+    json!({
+        "accepts_memory": 1.0, "cores_multiple": 1.0, "class_kind": [-1, -1, -1],
+        "class_most": [0, 0, 0], "class_priority": [0, 1, 2], "fades_over": [1.0, 0.2, 0.2],
+        "full_up_to": [1.0, 0.8, 0.8], "kind_cores": [settings.worker_cores],
+        "kind_memory": [settings.worker_memory], "lists_free": true, "make_sure": 3000.0,
+        "mean_memory": settings.task_memory, "usual_cores": settings.task_cores, "measured_by": "asked",
+        "no_price": 0.03, "preempts": false, "prompt_start_s": [start_s, start_s, start_s],
+        "spread_by": ["off", "off", "off"], "yes_at": "running", "young_limit": 3.0
+    })
+}
+
+fn prices(settings: &Settings) -> Value {
+    let handshake = match settings.connect {
+        Connect::OnDemand => PRICE_OF_A_CONNECTION,
+        Connect::All => 0.0,
+    };
+    json!({ "fleet": 0.15, "moves": 0.07, "handshake": handshake })
+}
--- /dev/null
+++ b/crates/scale/src/identity.rs
@@ -0,0 +1,127 @@
+//! The numbers that name workers, placers, zones and tasks, and their forms on the wire.
+
+use serde::{Deserialize, Serialize};
+use std::fmt;
+use std::net::{IpAddr, Ipv4Addr};
+
+/// The address of worker 0, 127.16.0.0; the others follow it within 127.0.0.0/8.
+const FIRST_ADDRESS: u32 = 0x7f10_0000;
+/// The most workers of a run: what a run's figures were made for.
+pub const MOST_WORKERS: u32 = 16_384;
+/// The bits of a task's id on the wire that hold its index; the attempt stands above them.
+const INDEX_BITS: u32 = 40;
+/// What is added to a task's index for its key, so that keys and ids differ.
+const FIRST_KEY: u64 = 0xa000_0000_0000_0000;
+
+/// A hollow worker, by its place in the list.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct WorkerId(pub u32);
+
+impl WorkerId {
+    /// The loopback address that placers call.
+    pub fn address(self) -> Ipv4Addr {
+        Ipv4Addr::from_bits(FIRST_ADDRESS + self.0)
+    }
+
+    /// The worker that was called at an address, if there are so many workers.
+    pub fn at(address: IpAddr, workers: u32) -> Option<WorkerId> {
+        let IpAddr::V4(address) = address else { return None };
+        let index = address.to_bits().checked_sub(FIRST_ADDRESS)?;
+        (index < workers).then_some(WorkerId(index))
+    }
+
+    /// The worker of this name.
+    pub fn named(name: &str) -> Option<WorkerId> {
+        name.strip_prefix('w').and_then(|digits| digits.parse().ok()).map(WorkerId)
+    }
+
+    /// Its place among the workers.
+    pub fn index(self) -> usize {
+        self.0 as usize
+    }
+
+    /// Its zone: workers are dealt out to zones in turn.
+    pub fn zone(self, zones: u32) -> ZoneId {
+        ZoneId(self.0 % zones.max(1))
+    }
+}
+
+impl fmt::Display for WorkerId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "w{:05}", self.0)
+    }
+}
+
+/// A zone, by its place in the settings.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ZoneId(pub u32);
+
+/// A real placer, by its place among those of the run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct PlacerId(pub u16);
+
+impl PlacerId {
+    /// Its place among the placers.
+    pub fn index(self) -> usize {
+        usize::from(self.0)
+    }
+}
+
+impl fmt::Display for PlacerId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "p{}", self.0)
+    }
+}
+
+/// A task, by its place in the run. All its attempts carry the same key.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct TaskIndex(pub u32);
+
+impl TaskIndex {
+    /// Its place among the tasks.
+    pub fn index(self) -> usize {
+        self.0 as usize
+    }
+
+    /// Its key, which names it at every worker that it comes to.
+    pub fn key(self) -> u64 {
+        FIRST_KEY + u64::from(self.0)
+    }
+
+    /// The task of this key.
+    pub fn of_key(key: u64) -> Option<TaskIndex> {
+        key.checked_sub(FIRST_KEY).and_then(|index| u32::try_from(index).ok()).map(TaskIndex)
+    }
+}
+
+/// One set-up of a task: each attempt of the client has an id of its own.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct SetupId(pub u64);
+
+impl SetupId {
+    /// The id of a task's attempt; never 0.
+    pub fn new(task: TaskIndex, attempt: u8) -> SetupId {
+        SetupId((u64::from(attempt) << INDEX_BITS) | (u64::from(task.0) + 1))
+    }
+
+    /// The task and the attempt of this id.
+    pub fn parts(self) -> Option<(TaskIndex, u8)> {
+        let below = self.0 & ((1 << INDEX_BITS) - 1);
+        let index = u32::try_from(below.checked_sub(1)?).ok()?;
+        Some((TaskIndex(index), u8::try_from(self.0 >> INDEX_BITS).ok()?))
+    }
+
+    /// The id that these 16 hex digits name.
+    pub fn parse(text: &str) -> Option<SetupId> {
+        (text.len() == 16).then(|| u64::from_str_radix(text, 16).ok()).flatten().map(SetupId)
+    }
+}
+
+impl fmt::Display for SetupId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/scale/src/run.rs
@@ -0,0 +1,279 @@
+//! One run from its start to its result.
+//!
+//! ```text
+//! placers start ─ first tests pass ─ standing tasks told ─ warm-up ─ measured, with faults ─ drain ─ audit
+//! ```
+//!
+//! Every step has its time, so that a run always ends by itself; whatever happens, what it has started ends
+//! with it.
+
+mod meter;
+mod schedule;
+mod stage;
+
+use crate::audit::{Kill, audit};
+use crate::clients::{ArrivalWindow, ClientBooks, ClientOrder};
+use crate::deployment::Class;
+use crate::error::RunError;
+use crate::process_sample::Sampler;
+use crate::results::{ClassTimes, FleetTotals, Percentiles, RunResult};
+use crate::settings::Settings;
+use crate::workers::{WorkerBooks, WorkerOrder};
+use meter::Meter;
+use rustix::process::{Resource, getrlimit};
+use schedule::Schedule;
+use stage::Stage;
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+/// How long placers may take until a test passes.
+const READY_LIMIT: Duration = Duration::from_secs(30);
+/// How long it may take to tell them what stands.
+const TELLING_LIMIT: Duration = Duration::from_secs(30);
+/// How long placers get to call the workers of what stands, before load begins.
+const SETTLING: Duration = Duration::from_secs(1);
+/// How often the run looks after everything.
+const LOOK: Duration = Duration::from_millis(10);
+/// How long after the load nothing may be owed before the audit: a placer may take 2 s to find that a task
+/// which it was told of stands nowhere.
+const QUIET: Duration = Duration::from_millis(2_500);
+/// The longest drain: the longest wait of a client, and the time in which the end of a task has to be told
+/// (the protocol's 8 s), with some to spare.
+const DRAIN_LIMIT: Duration = Duration::from_secs(14);
+/// Rows are so long.
+const SECOND: Duration = Duration::from_secs(1);
+
+/// How a run goes on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Progress {
+    /// What it does.
+    pub step: &'static str,
+    /// Seconds of it that have passed.
+    pub seconds: u64,
+    /// Tasks that were answered so far.
+    pub started: u64,
+    /// Tasks that were refused so far.
+    pub refused: u64,
+    /// Set-ups that wait.
+    pub waiting: u64,
+    /// Tasks at workers.
+    pub held: usize,
+    /// Connections of placers to workers.
+    pub connections: usize,
+}
+
+/// Who watches a run.
+pub trait Watcher {
+    /// The run goes on; about once a second.
+    fn progress(&mut self, _progress: &Progress) {}
+
+    /// Whether the run is to end now.
+    fn stop_wanted(&self) -> bool {
+        false
+    }
+}
+
+/// Nobody.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Unwatched;
+
+impl Watcher for Unwatched {}
+
+/// The descriptors that this process may hold.
+pub fn own_descriptors() -> u64 {
+    getrlimit(Resource::Nofile).current.unwrap_or(u64::MAX)
+}
+
+/// Runs these settings with this program as placer.
+pub fn run(
+    settings: &Settings,
+    program: &Path,
+    sampler: &mut dyn Sampler,
+    watcher: &mut dyn Watcher,
+) -> Result<RunResult, RunError> {
+    settings.check(own_descriptors())?;
+    let mut run = Run { stage: Stage::start(settings, program)?, watcher, kills: Vec::new() };
+    run.make_ready()?;
+    let window = run.begin(settings);
+    let mut meter = Meter::new(run.stage.counters(), window.measured_from);
+    run.carry_load(settings, window, sampler, &mut meter)?;
+    run.drain()?;
+    let Run { stage, kills, .. } = run;
+    finish(settings, stage, meter, &kills)
+}
+
+struct Run<'a> {
+    stage: Stage,
+    watcher: &'a mut dyn Watcher,
+    kills: Vec<Kill>,
+}
+
+impl Run<'_> {
+    /// Looks after everything that may have gone wrong.
+    fn look(&mut self) -> Result<(), RunError> {
+        if self.watcher.stop_wanted() {
+            return Err(RunError::Interrupted);
+        }
+        self.stage.check()
+    }
+
+    fn report(&mut self, step: &'static str, since: Instant) {
+        let (clients, workers) = self.stage.states();
+        self.watcher.progress(&Progress {
+            step,
+            seconds: since.elapsed().as_secs(),
+            started: clients.started,
+            refused: clients.refused,
+            waiting: clients.waiting,
+            held: workers.held,
+            connections: workers.connections,
+        });
+    }
+
+    /// Waits until something holds, or its time is over: whether it holds.
+    fn wait(
+        &mut self,
+        step: &'static str,
+        limit: Duration,
+        holds: impl Fn(&Stage) -> bool,
+    ) -> Result<bool, RunError> {
+        let start = Instant::now();
+        let mut reported = start;
+        while !holds(&self.stage) {
+            self.look()?;
+            self.stage.note_ready();
+            if start.elapsed() >= limit {
+                return Ok(false);
+            }
+            if reported.elapsed() >= SECOND {
+                reported = Instant::now();
+                self.report(step, start);
+            }
+            std::thread::sleep(LOOK);
+        }
+        Ok(true)
+    }
+
+    /// Until all placers pass tests and know what stands.
+    fn make_ready(&mut self) -> Result<(), RunError> {
+        self.wait("placers start", READY_LIMIT, |stage| stage.all_ready())?;
+        self.stage.note_ready();
+        if let Some(late) = self.stage.not_ready() {
+            return Err(late.into_error(READY_LIMIT));
+        }
+        self.wait("standing tasks told", TELLING_LIMIT, |stage| stage.states().0.queued == 0)?;
+        let settled = Instant::now() + SETTLING;
+        self.wait("placers settle", 2 * SETTLING, |_| Instant::now() >= settled)?;
+        Ok(())
+    }
+
+    /// Load begins.
+    fn begin(&mut self, settings: &Settings) -> ArrivalWindow {
+        let start = Instant::now();
+        let measured_from = start + settings.warm_up;
+        let window = ArrivalWindow { start, measured_from, end: measured_from + settings.duration };
+        self.stage.workers().order(WorkerOrder::Begin);
+        self.stage.clients().order(ClientOrder::Begin(window));
+        window
+    }
+
+    /// Until the end of the measured time: faults as they are due, and a row each second.
+    fn carry_load(
+        &mut self,
+        settings: &Settings,
+        window: ArrivalWindow,
+        sampler: &mut dyn Sampler,
+        meter: &mut Meter,
+    ) -> Result<(), RunError> {
+        let mut schedule = Schedule::new(settings, window.measured_from);
+        meter.begin(&self.stage, sampler);
+        let mut next = row_end(window.start, &window);
+        loop {
+            self.look()?;
+            self.stage.note_ready();
+            if let Some(late) = self.stage.overdue(READY_LIMIT) {
+                return Err(late.into_error(READY_LIMIT));
+            }
+            let now = Instant::now();
+            while let Some(action) = schedule.next_due(now) {
+                self.stage.act(action, &mut self.kills)?;
+            }
+            if now >= next {
+                meter.row(&self.stage, sampler);
+                let step = if now >= window.measured_from { "measured" } else { "warm-up" };
+                self.report(step, window.start);
+                if next >= window.end {
+                    return Ok(());
+                }
+                next = row_end(next, &window);
+            }
+            let left = next.saturating_duration_since(Instant::now());
+            std::thread::sleep(left.min(LOOK));
+        }
+    }
+
+    /// Until all that is owed was told.
+    fn drain(&mut self) -> Result<(), RunError> {
+        self.stage.workers().order(WorkerOrder::Freeze);
+        let quiet = Instant::now() + QUIET;
+        self.wait("drain", DRAIN_LIMIT, |stage| {
+            let (clients, workers) = stage.states();
+            Instant::now() >= quiet && clients.waiting == 0 && workers.unheard == 0 && stage.all_ready()
+        })?;
+        Ok(())
+    }
+}
+
+/// The end of the row that begins here: none reaches over the start of the measured time.
+fn row_end(start: Instant, window: &ArrivalWindow) -> Instant {
+    let end = start + SECOND;
+    if start < window.measured_from { end.min(window.measured_from) } else { end.min(window.end) }
+}
+
+/// Ends everything, and puts the result together.
+fn finish(settings: &Settings, stage: Stage, meter: Meter, kills: &[Kill]) -> Result<RunResult, RunError> {
+    let ended = stage.stop()?;
+    let fleet = fleet_totals(settings, &ended.client_books, &ended.worker_books, kills);
+    let reason = late_reason(settings, &fleet);
+    let (memory, processes) = (meter.memory(), 1 + usize::from(settings.placers));
+    Ok(RunResult {
+        settings: settings.clone(),
+        usable: reason.is_none(),
+        reason,
+        duration_s: settings.duration.as_secs_f64(),
+        processes,
+        memory,
+        fleet,
+        placers: meter.finish(ended.ready),
+    })
+}
+
+fn fleet_totals(
+    settings: &Settings,
+    clients: &ClientBooks,
+    workers: &WorkerBooks,
+    kills: &[Kill],
+) -> FleetTotals {
+    let mut totals = FleetTotals::default();
+    audit(&mut totals, &clients.tasks, workers, kills);
+    totals.answered_twice = clients.second_answers;
+    totals.bad_messages += clients.bad_messages;
+    totals.lateness = Percentiles::of(&clients.timings.lateness);
+    let classes = Class::ALL.iter().zip(&clients.timings.to_start);
+    let times = |(class, times): (&Class, _)| ClassTimes {
+        class: class.name().to_string(),
+        times: Percentiles::of(times),
+    };
+    totals.start_times = classes.map(times).filter(|class| class.times.count > 0).collect();
+    let measured: u64 = totals.start_times.iter().map(|class| class.times.count).sum();
+    totals.starts_per_s = measured as f64 / settings.duration.as_secs_f64();
+    totals
+}
+
+/// Why the generator's own lateness makes a run of no use, if it does.
+fn late_reason(settings: &Settings, fleet: &FleetTotals) -> Option<String> {
+    let limit_ms = settings.lateness_limit.as_secs_f64() * 1e3;
+    let found = fleet.lateness.p99_ms;
+    let limit = humantime::format_duration(settings.lateness_limit);
+    (found > limit_ms).then(|| format!("the generator itself was late: p99 {found:.1} ms, over {limit}"))
+}
--- /dev/null
+++ b/crates/scale/src/run/stage.rs
@@ -0,0 +1,255 @@
+//! Everything that takes part in a run: the hollow peers and the real placers.
+
+use super::schedule::Action;
+use crate::audit::Kill;
+use crate::clients::{ClientBooks, ClientOrder, ClientState, Clients, standing_tasks};
+use crate::deployment::{Place, configuration};
+use crate::error::RunError;
+use crate::feeds::{FeedOrder, Feeds};
+use crate::identity::PlacerId;
+use crate::listener::free_address;
+use crate::placer_process::{Launch, PlacerProcess};
+use crate::settings::Settings;
+use crate::traffic::{Direction, PlacerCounters, TrafficKind, Volume};
+use crate::workers::{WorkerBooks, WorkerOrder, WorkerSetup, WorkerState, Workers};
+use std::io;
+use std::path::Path;
+use std::sync::Arc;
+use std::time::{Duration, Instant, SystemTime};
+use tempfile::TempDir;
+
+/// A placer that passes no test.
+pub struct NotReady {
+    placer: PlacerId,
+    log: String,
+}
+
+impl NotReady {
+    /// As the error that ends a run.
+    pub fn into_error(self, limit: Duration) -> RunError {
+        RunError::NotReady { placer: self.placer, limit, log: self.log }
+    }
+}
+
+/// What is left when all has ended.
+pub struct Ended {
+    /// What the clients noted.
+    pub client_books: ClientBooks,
+    /// What the workers noted.
+    pub worker_books: WorkerBooks,
+    /// From each start of each placer to its first passed test, in milliseconds.
+    pub ready: Vec<Vec<f64>>,
+}
+
+struct Member {
+    process: PlacerProcess,
+    restarts: u32,
+    /// Its latest start was not followed by a passed test yet.
+    starts: bool,
+    ready_ms: Vec<f64>,
+}
+
+/// Everything that takes part. Placers end first: fields are dropped in their order.
+pub struct Stage {
+    members: Vec<Member>,
+    clients: Clients,
+    workers: Workers,
+    feeds: Feeds,
+    counters: Vec<Arc<PlacerCounters>>,
+    settings: Settings,
+    /// Where the placers' files are; goes with this value.
+    folder: TempDir,
+}
+
+impl Stage {
+    /// Starts the hollow peers, then the placers.
+    pub fn start(settings: &Settings, program: &Path) -> Result<Stage, RunError> {
+        let folder = tempfile::Builder::new().prefix("anisehead-scale-").tempdir();
+        let folder = folder.map_err(RunError::system("make a folder"))?;
+        let counters: Vec<Arc<PlacerCounters>> = (0..settings.placers).map(|_| Arc::default()).collect();
+        let peers = |peers| move |source| RunError::Peers { peers, source };
+        let standing = standing_tasks(settings);
+        let feeds = Feeds::start(settings, counters.clone()).map_err(peers("feeds"))?;
+        let setup = WorkerSetup::of(settings);
+        let workers = Workers::start(setup, &standing, counters.clone(), feeds.orders());
+        let workers = workers.map_err(peers("workers"))?;
+        let clients = Clients::start(settings, &standing, counters.clone()).map_err(peers("clients"))?;
+        let settings = settings.clone();
+        let members = Vec::new();
+        let mut stage = Stage { members, clients, workers, feeds, counters, settings, folder };
+        for placer in (0..stage.settings.placers).map(PlacerId) {
+            stage.start_placer(placer, program)?;
+        }
+        Ok(stage)
+    }
+
+    fn start_placer(&mut self, placer: PlacerId, program: &Path) -> Result<(), RunError> {
+        self.feeds.orders().send(FeedOrder::Ports(placer, self.workers.ports(placer).to_vec()));
+        let launch = Launch {
+            placer,
+            program: program.to_path_buf(),
+            folder: self.folder.path().to_path_buf(),
+            address: free_address().map_err(RunError::system("find a free port"))?,
+            sockets: self.settings.placer_sockets,
+        };
+        let address = launch.address;
+        let text = self.configuration(placer, 0, address)?;
+        let process = PlacerProcess::start(launch, &text)?;
+        self.members.push(Member { process, restarts: 0, starts: true, ready_ms: Vec::new() });
+        self.clients.order(ClientOrder::Started(placer, address));
+        Ok(())
+    }
+
+    /// The configuration of a placer that starts now. It is counted as sent to it.
+    fn configuration(
+        &self,
+        placer: PlacerId,
+        restarts: u32,
+        listen: std::net::SocketAddr,
+    ) -> Result<String, RunError> {
+        let no_feed = || RunError::Peers { peers: "feeds", source: io::Error::other("no such feed") };
+        let feed = self.feeds.address(placer).ok_or_else(no_feed)?;
+        let known = self.feeds.known(placer);
+        let known = known.map_err(|source| RunError::Peers { peers: "feeds", source })?;
+        let text = configuration(&self.settings, &Place { placer, restarts, listen, feed, known: &known });
+        if let Some(counters) = self.counters.get(placer.index()) {
+            let volume = Volume { bytes: text.len() as u64, messages: 1 };
+            counters.add(TrafficKind::Configuration, Direction::ToPlacer, volume);
+            counters.add_raw(Direction::ToPlacer, volume.bytes);
+        }
+        Ok(text)
+    }
+
+    /// The counters of all placers.
+    pub fn counters(&self) -> Vec<Arc<PlacerCounters>> {
+        self.counters.clone()
+    }
+
+    /// The clients.
+    pub fn clients(&self) -> &Clients {
+        &self.clients
+    }
+
+    /// The workers.
+    pub fn workers(&self) -> &Workers {
+        &self.workers
+    }
+
+    /// The processes of all placers; none for one that is killed.
+    pub fn process_ids(&self) -> impl Iterator<Item = Option<u32>> + '_ {
+        self.members.iter().map(|member| member.process.id())
+    }
+
+    /// How clients and workers are.
+    pub fn states(&self) -> (ClientState, WorkerState) {
+        (self.clients.state(), self.workers.state())
+    }
+
+    /// An error if a placer or a thread of the peers has ended by itself.
+    pub fn check(&mut self) -> Result<(), RunError> {
+        let failures = [
+            ("workers", self.workers.failure()),
+            ("clients", self.clients.failure()),
+            ("feeds", self.feeds.failure()),
+        ];
+        for (peers, failure) in failures {
+            if let Some(source) = failure {
+                return Err(RunError::Peers { peers, source });
+            }
+        }
+        self.members.iter_mut().try_for_each(|member| member.process.check())
+    }
+
+    // ---- Ready ----
+
+    /// Takes over which placers have passed a test since their start.
+    pub fn note_ready(&mut self) {
+        let ready = self.clients.state().ready;
+        for (member, ready) in self.members.iter_mut().zip(ready) {
+            if let Some(ready) = ready.filter(|_| member.starts) {
+                member.starts = false;
+                let took = ready.saturating_duration_since(member.process.started);
+                member.ready_ms.push(took.as_secs_f64() * 1e3);
+            }
+        }
+    }
+
+    /// Whether all placers that run have passed a test.
+    pub fn all_ready(&self) -> bool {
+        let ready = self.clients.state().ready;
+        let all = self.members.iter().zip(ready);
+        all.into_iter().all(|(member, ready)| member.process.id().is_none() || ready.is_some())
+    }
+
+    /// A placer that starts and has not passed a test yet.
+    pub fn not_ready(&self) -> Option<NotReady> {
+        self.overdue(Duration::ZERO)
+    }
+
+    /// A placer that has not passed a test for so long since its start.
+    pub fn overdue(&self, limit: Duration) -> Option<NotReady> {
+        let late = self.members.iter().find(|member| {
+            member.starts && member.process.id().is_some() && member.process.started.elapsed() > limit
+        });
+        late.map(|member| NotReady { placer: member.process.placer(), log: member.process.log_end() })
+    }
+
+    // ---- Faults ----
+
+    /// Does what is due.
+    pub fn act(&mut self, action: Action, kills: &mut Vec<Kill>) -> Result<(), RunError> {
+        match action {
+            Action::ZoneVanishes(zone) => self.workers.order(WorkerOrder::Vanish(zone)),
+            Action::ZoneIsTold(zone) => self.feeds.orders().send(FeedOrder::Remove(zone)),
+            Action::ZoneReturns(zone) => {
+                self.workers.order(WorkerOrder::Return(zone));
+                self.feeds.orders().send(FeedOrder::Return(zone, unix_millis()));
+            }
+            Action::PlacerIsKilled(placer) => {
+                self.clients.doom(placer, true);
+                kills.push(Kill { placer, at: Instant::now() });
+                if let Some(member) = self.members.get_mut(placer.index()) {
+                    member.process.kill();
+                }
+                self.clients.order(ClientOrder::Killed(placer));
+            }
+            Action::PlacerReturns(placer) => self.start_again(placer)?,
+            Action::Garbage(workers) => self.workers.order(WorkerOrder::Garbage(workers)),
+        }
+        Ok(())
+    }
+
+    fn start_again(&mut self, placer: PlacerId) -> Result<(), RunError> {
+        let Some(member) = self.members.get_mut(placer.index()) else { return Ok(()) };
+        member.restarts += 1;
+        member.starts = true;
+        let (restarts, address) = (member.restarts, member.process.address());
+        let text = self.configuration(placer, restarts, address)?;
+        if let Some(member) = self.members.get_mut(placer.index()) {
+            member.process.start_again(&text)?;
+        }
+        self.clients.doom(placer, false);
+        self.clients.order(ClientOrder::Started(placer, address));
+        Ok(())
+    }
+
+    // ---- End ----
+
+    /// Ends everything.
+    pub fn stop(self) -> Result<Ended, RunError> {
+        let Stage { members, clients, workers, feeds, .. } = self;
+        let peers = |peers| move |source| RunError::Peers { peers, source };
+        // Peers end first: what the end of a placer would make them say is not owed any more.
+        let client_books = clients.stop().map_err(peers("clients"))?;
+        let worker_books = workers.stop().map_err(peers("workers"))?;
+        feeds.stop().map_err(peers("feeds"))?;
+        let ready = members.into_iter().map(|member| member.ready_ms.clone()).collect();
+        Ok(Ended { client_books, worker_books, ready })
+    }
+}
+
+/// The system's time in Unix milliseconds.
+fn unix_millis() -> u64 {
+    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/scale/src/settings/flags.rs
@@ -0,0 +1,165 @@
+//! Settings on the command line: a file, and flags that go before what it says.
+
+use super::{Connect, Fault, FeedRule, Settings, SettingsError};
+use clap::Args;
+use serde::de::DeserializeOwned;
+use std::path::PathBuf;
+
+/// Where the settings come from. Each flag has the name and the form of the setting in the file.
+#[derive(Debug, Clone, Default, Args)]
+pub struct SettingsArgs {
+    /// A TOML file with settings; see the plans that come with the package
+    pub plan: Option<PathBuf>,
+    /// Set one setting, as in the file: `--set workers=2000 --set life=60s`; goes before the file
+    #[arg(long = "set", value_name = "NAME=VALUE")]
+    pub set: Vec<String>,
+    /// Hollow workers
+    #[arg(long)]
+    pub workers: Option<String>,
+    /// Zones
+    #[arg(long)]
+    pub zones: Option<String>,
+    /// Real placer processes
+    #[arg(long)]
+    pub placers: Option<String>,
+    /// Placers that the deployment's settings state
+    #[arg(long)]
+    pub instances: Option<String>,
+    /// Starts a second, over all placers that run
+    #[arg(long)]
+    pub rate: Option<String>,
+    /// Tasks that stand at the start
+    #[arg(long)]
+    pub standing: Option<String>,
+    /// Mean life of a task
+    #[arg(long)]
+    pub life: Option<String>,
+    /// Time with load before the figures count
+    #[arg(long)]
+    pub warm_up: Option<String>,
+    /// Time over which the figures count
+    #[arg(long)]
+    pub duration: Option<String>,
+    /// Seed of all that is drawn
+    #[arg(long)]
+    pub seed: Option<String>,
+    /// How the control feed tells changes: each-change, gathered
+    #[arg(long)]
+    pub feed: Option<String>,
+    /// When placers connect to workers: on-demand, all
+    #[arg(long)]
+    pub connect: Option<String>,
+    /// Something that fails, as an inline table: `{ kind = "zone", zone = "z2", at = "5s", back-after = "5s" }`
+    #[arg(long = "fault", value_name = "TABLE")]
+    pub faults: Vec<String>,
+}
+
+impl SettingsArgs {
+    /// The settings that file and flags say together, without the checks.
+    pub fn settings(&self) -> Result<Settings, SettingsError> {
+        let mut settings = match &self.plan {
+            Some(path) => Settings::load(path)?,
+            None => Settings::default(),
+        };
+        for (name, value) in self.named() {
+            set(&mut settings, name, value)?;
+        }
+        for pair in &self.set {
+            let Some((name, value)) = pair.split_once('=') else {
+                return Err(SettingsError::new("--set", "NAME=VALUE", pair));
+            };
+            set(&mut settings, name.trim(), value.trim())?;
+        }
+        for table in &self.faults {
+            settings.faults.push(fault(table)?);
+        }
+        Ok(settings)
+    }
+
+    fn named(&self) -> impl Iterator<Item = (&'static str, &str)> {
+        let flags = [
+            ("workers", &self.workers),
+            ("zones", &self.zones),
+            ("placers", &self.placers),
+            ("instances", &self.instances),
+            ("rate", &self.rate),
+            ("standing", &self.standing),
+            ("life", &self.life),
+            ("warm-up", &self.warm_up),
+            ("duration", &self.duration),
+            ("seed", &self.seed),
+            ("feed", &self.feed),
+            ("connect", &self.connect),
+        ];
+        flags.into_iter().filter_map(|(name, value)| Some((name, value.as_deref()?)))
+    }
+}
+
+/// Sets one setting to a text.
+fn set(settings: &mut Settings, name: &str, text: &str) -> Result<(), SettingsError> {
+    match name {
+        "seed" => number(&mut settings.seed, name, text),
+        "workers" => number(&mut settings.workers, name, text),
+        "zones" => number(&mut settings.zones, name, text),
+        "regions" => number(&mut settings.regions, name, text),
+        "placers" => number(&mut settings.placers, name, text),
+        "instances" => number(&mut settings.instances, name, text),
+        "rate" => number(&mut settings.rate, name, text),
+        "urgent-share" => number(&mut settings.urgent_share, name, text),
+        "once-share" => number(&mut settings.once_share, name, text),
+        "standing" => number(&mut settings.standing, name, text),
+        "tenants" => number(&mut settings.tenants, name, text),
+        "services" => number(&mut settings.services, name, text),
+        "placer-memory-mb" => number(&mut settings.placer_memory_mb, name, text),
+        "placer-sockets" => number(&mut settings.placer_sockets, name, text),
+        "client-connections" => number(&mut settings.client_connections, name, text),
+        "worker-cores" => number(&mut settings.worker_cores, name, text),
+        "worker-memory" => number(&mut settings.worker_memory, name, text),
+        "task-cores" => number(&mut settings.task_cores, name, text),
+        "task-memory" => number(&mut settings.task_memory, name, text),
+        "events" => number(&mut settings.events, name, text),
+        "life" => span(&mut settings.life, name, text),
+        "start-time" => span(&mut settings.start_time, name, text),
+        "warm-up" => span(&mut settings.warm_up, name, text),
+        "duration" => span(&mut settings.duration, name, text),
+        "lateness-limit" => span(&mut settings.lateness_limit, name, text),
+        "feed-period" => span(&mut settings.feed_period, name, text),
+        "whole-list-every" => span(&mut settings.whole_list_every, name, text),
+        "feed" => word::<FeedRule>(&mut settings.feed, name, "each-change or gathered", text),
+        "connect" => word::<Connect>(&mut settings.connect, name, "on-demand or all", text),
+        _ => Err(SettingsError::new(name, "the name of a setting", format_args!("{name}={text}"))),
+    }
+}
+
+fn number<T: std::str::FromStr>(place: &mut T, name: &str, text: &str) -> Result<(), SettingsError> {
+    *place = text.parse().map_err(|_| SettingsError::new(name, "a number in its range", text))?;
+    Ok(())
+}
+
+fn span(place: &mut std::time::Duration, name: &str, text: &str) -> Result<(), SettingsError> {
+    let parsed = humantime::parse_duration(text);
+    *place = parsed.map_err(|_| SettingsError::new(name, "a time such as 30s", text))?;
+    Ok(())
+}
+
+fn word<T: DeserializeOwned>(
+    place: &mut T,
+    name: &str,
+    expected: &str,
+    text: &str,
+) -> Result<(), SettingsError> {
+    let value = toml::Value::String(text.to_string());
+    *place = value.try_into().map_err(|_| SettingsError::new(name, expected, text))?;
+    Ok(())
+}
+
+fn fault(table: &str) -> Result<Fault, SettingsError> {
+    #[derive(serde::Deserialize)]
+    struct One {
+        fault: Fault,
+    }
+    let parsed: Result<One, toml::de::Error> = toml::from_str(&format!("fault = {table}"));
+    parsed
+        .map(|one| one.fault)
+        .map_err(|error| SettingsError::new("fault", "a table such as one of [[fault]]", error.message()))
+}
--- /dev/null
+++ b/crates/scale/src/traffic.rs
@@ -0,0 +1,352 @@
+//! What goes to and from each placer, counted where it is sent and received: at the hollow peers.
+//!
+//! Bytes are those of the TCP payload. Each connection belongs to one [`TrafficKind`]; a connection to a
+//! worker counts as control until it carries its first task. The whole is counted apart from the kinds, so
+//! that a test can hold one against the other.
+
+use serde::{Deserialize, Serialize};
+use std::ops::{AddAssign, Sub};
+use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
+
+/// What a connection is for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum TrafficKind {
+    /// Control: the control feed.
+    Feed,
+    /// Control: tests of a front, and their results.
+    Test,
+    /// Control: a call to a worker that never carried a task.
+    IdleWorker,
+    /// Control: the configuration that a placer reads at its start.
+    Configuration,
+    /// Service: a connection to a worker that carried a task.
+    Worker,
+    /// Service: a client's connection.
+    Client,
+}
+
+const KINDS: usize = 6;
+
+/// Which way bytes went.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Direction {
+    /// From a hollow peer to the placer.
+    ToPlacer,
+    /// From the placer to a hollow peer.
+    FromPlacer,
+}
+
+/// Bytes and messages one way.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Volume {
+    /// Bytes of payload.
+    pub bytes: u64,
+    /// Whole messages.
+    pub messages: u64,
+}
+
+/// What went both ways, and the connections that were opened for it.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Flow {
+    /// From hollow peers to the placer.
+    pub to_placer: Volume,
+    /// From the placer to hollow peers.
+    pub from_placer: Volume,
+    /// Connections opened.
+    pub connections: u64,
+}
+
+/// What keeps a placer informed and tested.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ControlTraffic {
+    /// The control feed.
+    pub feed: Flow,
+    /// Tests and their results.
+    pub test: Flow,
+    /// Calls to workers that never carried a task.
+    pub idle_worker: Flow,
+    /// The configuration.
+    pub configuration: Flow,
+}
+
+/// What carries tasks.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServiceTraffic {
+    /// Connections to workers that carried tasks.
+    pub worker: Flow,
+    /// Connections of clients.
+    pub client: Flow,
+}
+
+/// What went to and from one placer.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Traffic {
+    /// What keeps it informed and tested.
+    pub control: ControlTraffic,
+    /// What carries tasks.
+    pub service: ServiceTraffic,
+    /// Bytes of all sockets to the placer, counted apart from the kinds.
+    pub raw_to_placer: u64,
+    /// Bytes of all sockets from the placer, counted apart from the kinds.
+    pub raw_from_placer: u64,
+}
+
+/// What the control feed told a placer.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FeedCounts {
+    /// Events that hold changes.
+    pub change_events: u64,
+    /// Events that hold the whole list.
+    pub whole_events: u64,
+    /// Lines that hold a number alone.
+    pub number_lines: u64,
+    /// Entries of workers that are up.
+    pub entries_up: u64,
+    /// Entries of workers that were removed.
+    pub entries_removed: u64,
+}
+
+impl AddAssign for Volume {
+    fn add_assign(&mut self, other: Volume) {
+        self.bytes += other.bytes;
+        self.messages += other.messages;
+    }
+}
+
+impl Sub for Volume {
+    type Output = Volume;
+
+    fn sub(self, before: Volume) -> Volume {
+        Volume {
+            bytes: self.bytes.saturating_sub(before.bytes),
+            messages: self.messages.saturating_sub(before.messages),
+        }
+    }
+}
+
+impl AddAssign for Flow {
+    fn add_assign(&mut self, other: Flow) {
+        self.to_placer += other.to_placer;
+        self.from_placer += other.from_placer;
+        self.connections += other.connections;
+    }
+}
+
+impl Sub for Flow {
+    type Output = Flow;
+
+    fn sub(self, before: Flow) -> Flow {
+        Flow {
+            to_placer: self.to_placer - before.to_placer,
+            from_placer: self.from_placer - before.from_placer,
+            connections: self.connections.saturating_sub(before.connections),
+        }
+    }
+}
+
+impl ControlTraffic {
+    /// All kinds together.
+    pub fn total(&self) -> Flow {
+        sum([self.feed, self.test, self.idle_worker, self.configuration])
+    }
+}
+
+impl ServiceTraffic {
+    /// All kinds together.
+    pub fn total(&self) -> Flow {
+        sum([self.worker, self.client])
+    }
+}
+
+impl Traffic {
+    /// All kinds together.
+    pub fn total(&self) -> Flow {
+        sum([self.control.total(), self.service.total()])
+    }
+}
+
+fn sum<const N: usize>(flows: [Flow; N]) -> Flow {
+    let mut total = Flow::default();
+    flows.into_iter().for_each(|flow| total += flow);
+    total
+}
+
+impl Sub for Traffic {
+    type Output = Traffic;
+
+    fn sub(self, before: Traffic) -> Traffic {
+        Traffic {
+            control: ControlTraffic {
+                feed: self.control.feed - before.control.feed,
+                test: self.control.test - before.control.test,
+                idle_worker: self.control.idle_worker - before.control.idle_worker,
+                configuration: self.control.configuration - before.control.configuration,
+            },
+            service: ServiceTraffic {
+                worker: self.service.worker - before.service.worker,
+                client: self.service.client - before.service.client,
+            },
+            raw_to_placer: self.raw_to_placer.saturating_sub(before.raw_to_placer),
+            raw_from_placer: self.raw_from_placer.saturating_sub(before.raw_from_placer),
+        }
+    }
+}
+
+impl AddAssign for Traffic {
+    fn add_assign(&mut self, other: Traffic) {
+        self.control.feed += other.control.feed;
+        self.control.test += other.control.test;
+        self.control.idle_worker += other.control.idle_worker;
+        self.control.configuration += other.control.configuration;
+        self.service.worker += other.service.worker;
+        self.service.client += other.service.client;
+        self.raw_to_placer += other.raw_to_placer;
+        self.raw_from_placer += other.raw_from_placer;
+    }
+}
+
+impl AddAssign for FeedCounts {
+    fn add_assign(&mut self, other: FeedCounts) {
+        self.change_events += other.change_events;
+        self.whole_events += other.whole_events;
+        self.number_lines += other.number_lines;
+        self.entries_up += other.entries_up;
+        self.entries_removed += other.entries_removed;
+    }
+}
+
+impl Sub for FeedCounts {
+    type Output = FeedCounts;
+
+    fn sub(self, before: FeedCounts) -> FeedCounts {
+        FeedCounts {
+            change_events: self.change_events.saturating_sub(before.change_events),
+            whole_events: self.whole_events.saturating_sub(before.whole_events),
+            number_lines: self.number_lines.saturating_sub(before.number_lines),
+            entries_up: self.entries_up.saturating_sub(before.entries_up),
+            entries_removed: self.entries_removed.saturating_sub(before.entries_removed),
+        }
+    }
+}
+
+#[derive(Debug, Default)]
+struct VolumeCounter {
+    bytes: AtomicU64,
+    messages: AtomicU64,
+}
+
+impl VolumeCounter {
+    fn add(&self, volume: Volume) {
+        self.bytes.fetch_add(volume.bytes, Relaxed);
+        self.messages.fetch_add(volume.messages, Relaxed);
+    }
+
+    fn read(&self) -> Volume {
+        Volume { bytes: self.bytes.load(Relaxed), messages: self.messages.load(Relaxed) }
+    }
+}
+
+#[derive(Debug, Default)]
+struct FlowCounter {
+    to_placer: VolumeCounter,
+    from_placer: VolumeCounter,
+    connections: AtomicU64,
+}
+
+impl FlowCounter {
+    fn read(&self) -> Flow {
+        Flow {
+            to_placer: self.to_placer.read(),
+            from_placer: self.from_placer.read(),
+            connections: self.connections.load(Relaxed),
+        }
+    }
+}
+
+/// The counters of one placer, shared by the threads that speak to it.
+#[derive(Debug, Default)]
+pub struct PlacerCounters {
+    kinds: [FlowCounter; KINDS],
+    raw_to_placer: AtomicU64,
+    raw_from_placer: AtomicU64,
+    change_events: AtomicU64,
+    whole_events: AtomicU64,
+    number_lines: AtomicU64,
+    entries_up: AtomicU64,
+    entries_removed: AtomicU64,
+}
+
+impl PlacerCounters {
+    fn kind(&self, kind: TrafficKind) -> &FlowCounter {
+        let [feed, test, idle_worker, configuration, worker, client] = &self.kinds;
+        match kind {
+            TrafficKind::Feed => feed,
+            TrafficKind::Test => test,
+            TrafficKind::IdleWorker => idle_worker,
+            TrafficKind::Configuration => configuration,
+            TrafficKind::Worker => worker,
+            TrafficKind::Client => client,
+        }
+    }
+
+    /// Counts bytes and messages of a kind.
+    pub fn add(&self, kind: TrafficKind, direction: Direction, volume: Volume) {
+        let flow = self.kind(kind);
+        match direction {
+            Direction::ToPlacer => flow.to_placer.add(volume),
+            Direction::FromPlacer => flow.from_placer.add(volume),
+        }
+    }
+
+    /// Counts a connection of a kind.
+    pub fn add_connection(&self, kind: TrafficKind) {
+        self.kind(kind).connections.fetch_add(1, Relaxed);
+    }
+
+    /// Counts bytes of a socket, whatever they are for.
+    pub fn add_raw(&self, direction: Direction, bytes: u64) {
+        match direction {
+            Direction::ToPlacer => self.raw_to_placer.fetch_add(bytes, Relaxed),
+            Direction::FromPlacer => self.raw_from_placer.fetch_add(bytes, Relaxed),
+        };
+    }
+
+    /// Counts what the feed told.
+    pub fn add_feed(&self, counts: FeedCounts) {
+        self.change_events.fetch_add(counts.change_events, Relaxed);
+        self.whole_events.fetch_add(counts.whole_events, Relaxed);
+        self.number_lines.fetch_add(counts.number_lines, Relaxed);
+        self.entries_up.fetch_add(counts.entries_up, Relaxed);
+        self.entries_removed.fetch_add(counts.entries_removed, Relaxed);
+    }
+
+    /// What was counted so far.
+    pub fn traffic(&self) -> Traffic {
+        let read = |kind| self.kind(kind).read();
+        Traffic {
+            control: ControlTraffic {
+                feed: read(TrafficKind::Feed),
+                test: read(TrafficKind::Test),
+                idle_worker: read(TrafficKind::IdleWorker),
+                configuration: read(TrafficKind::Configuration),
+            },
+            service: ServiceTraffic { worker: read(TrafficKind::Worker), client: read(TrafficKind::Client) },
+            raw_to_placer: self.raw_to_placer.load(Relaxed),
+            raw_from_placer: self.raw_from_placer.load(Relaxed),
+        }
+    }
+
+    /// What the feed told so far.
+    pub fn feed(&self) -> FeedCounts {
+        FeedCounts {
+            change_events: self.change_events.load(Relaxed),
+            whole_events: self.whole_events.load(Relaxed),
+            number_lines: self.number_lines.load(Relaxed),
+            entries_up: self.entries_up.load(Relaxed),
+            entries_removed: self.entries_removed.load(Relaxed),
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/scale/src/workers/thread.rs
@@ -0,0 +1,426 @@
+//! The event loop of the workers: accepts, reads, answers when answers are due, and tells the feeds what
+//! has changed.
+
+use super::audit_book::WorkerBooks;
+use super::connections::{ConnectionId, Connections};
+use super::fleet::{Fleet, HeldId, OfferReply, ReleaseReply, Step};
+use super::{WorkerOrder, WorkerState, listener_token};
+use crate::feeds::FeedOrder;
+use crate::identity::{PlacerId, SetupId, WorkerId, ZoneId};
+use crate::listener::{LoopbackListener, is_loopback};
+use crate::mailbox::{Receiver, Sender};
+use crate::socket::{Connection, Liveness};
+use crate::timers::TimerQueue;
+use crate::traffic::{PlacerCounters, TrafficKind};
+use crate::wire::lines::{self, Offer, PlacerLine};
+use crate::wire::{WireError, cause, description};
+use mio::net::{TcpListener, TcpStream};
+use mio::{Events, Interest, Poll, Token};
+use std::collections::BTreeSet;
+use std::io::{self, ErrorKind};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+/// Where orders come in.
+pub const MAILBOX: Token = Token(0);
+/// The first of the listeners, by placer and zone.
+pub const FIRST_LISTENER: Token = Token(1);
+/// The first of the connections: above all listeners.
+const FIRST_CONNECTION: usize = 1 << 24;
+/// Events taken in one turn.
+const EVENTS: usize = 1_024;
+/// The longest wait for events.
+const LONGEST_WAIT: Duration = Duration::from_millis(100);
+/// How soon accepting is tried again where the system had no descriptor left.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// What no placer can read.
+const GARBAGE: &[u8] = b"\x00\xffnot a message{{{\n";
+
+/// What the workers share with others.
+pub struct Shared {
+    /// The counters of each placer.
+    pub counters: Vec<Arc<PlacerCounters>>,
+    /// Where changes of room are told.
+    pub feeds: Sender<FeedOrder>,
+    /// What the workers are told to do.
+    pub orders: Receiver<WorkerOrder>,
+    /// What they have in hand.
+    pub state: Arc<Mutex<WorkerState>>,
+}
+
+/// What is due at a time.
+enum Due {
+    /// A step of a task, and the connection that its offer came on.
+    Step(Step, HeldId, Option<ConnectionId>),
+    /// Accepting is tried again.
+    Accept(Token),
+}
+
+struct Listener {
+    /// Keeps the port, also while it refuses calls.
+    socket: LoopbackListener,
+    /// What the event loop accepts from, while it takes calls.
+    handle: Option<TcpListener>,
+    placer: PlacerId,
+    zone: ZoneId,
+}
+
+/// The workers' thread.
+pub struct WorkerThread {
+    poll: Poll,
+    fleet: Fleet,
+    listeners: Vec<Listener>,
+    connections: Connections,
+    timers: TimerQueue<Due>,
+    shared: Shared,
+    stopped: bool,
+}
+
+impl WorkerThread {
+    /// Workers with these listeners, by placer and zone.
+    pub fn new(
+        poll: Poll,
+        fleet: Fleet,
+        sockets: Vec<Vec<LoopbackListener>>,
+        shared: Shared,
+    ) -> io::Result<WorkerThread> {
+        let mut listeners = Vec::new();
+        for (placer, zones) in (0_u16..).map(PlacerId).zip(sockets) {
+            for (zone, socket) in (0_u32..).map(ZoneId).zip(zones) {
+                listeners.push(Listener { socket, handle: None, placer, zone });
+            }
+        }
+        let (connections, timers) = (Connections::default(), TimerQueue::default());
+        let mut thread =
+            WorkerThread { poll, fleet, listeners, connections, timers, shared, stopped: false };
+        for place in 0..thread.listeners.len() {
+            thread.take_calls(place)?;
+        }
+        Ok(thread)
+    }
+
+    /// Runs until it is stopped; the books.
+    pub fn run(&mut self) -> io::Result<WorkerBooks> {
+        let mut events = Events::with_capacity(EVENTS);
+        while !self.stopped {
+            let wait = self.timers.wait(Instant::now(), LONGEST_WAIT);
+            match self.poll.poll(&mut events, Some(wait)) {
+                Err(error) if error.kind() != ErrorKind::Interrupted => return Err(error),
+                _ => {}
+            }
+            for event in &events {
+                match event.token() {
+                    MAILBOX => {}
+                    Token(token) if token >= FIRST_CONNECTION => self.serve(token - FIRST_CONNECTION),
+                    token => self.accept(token)?,
+                }
+            }
+            self.obey()?;
+            self.do_what_is_due()?;
+            self.tell();
+        }
+        self.fleet.books.unheard = self.fleet.unheard_count() as u64;
+        Ok(std::mem::take(&mut self.fleet.books))
+    }
+
+    /// Tells the feeds what has changed, and the run what is in hand.
+    fn tell(&mut self) {
+        let rooms = self.fleet.take_changed_rooms();
+        if !rooms.is_empty() {
+            self.shared.feeds.send(FeedOrder::Rooms(rooms));
+        }
+        let state = WorkerState {
+            held: self.fleet.in_hand(),
+            unheard: self.fleet.unheard_count(),
+            connections: self.connections.len(),
+        };
+        *self.shared.state.lock().unwrap_or_else(PoisonError::into_inner) = state;
+    }
+
+    // ---- Orders ----
+
+    fn obey(&mut self) -> io::Result<()> {
+        for order in self.shared.orders.take() {
+            match order {
+                WorkerOrder::Begin => self.begin(),
+                WorkerOrder::Vanish(zone) => self.vanish(zone)?,
+                WorkerOrder::Return(zone) => self.bring_back(zone)?,
+                WorkerOrder::Garbage(workers) => self.send_garbage(workers),
+                WorkerOrder::Freeze => self.fleet.freeze(),
+                WorkerOrder::Stop => self.stopped = true,
+            }
+        }
+        Ok(())
+    }
+
+    fn begin(&mut self) {
+        let now = Instant::now();
+        for (id, life) in self.fleet.lives() {
+            self.timers.add(now + life, Due::Step(Step::End, id, None));
+        }
+    }
+
+    fn vanish(&mut self, zone: ZoneId) -> io::Result<()> {
+        let zones = self.fleet.setup().zones;
+        for listener in self.listeners.iter_mut().filter(|listener| listener.zone == zone) {
+            if let Some(mut handle) = listener.handle.take() {
+                self.poll.registry().deregister(&mut handle)?;
+            }
+            listener.socket.refuse()?;
+        }
+        self.fleet.vanish(zone);
+        for place in self.connections.places(|found| found.worker.zone(zones) == zone) {
+            if let Some(lost) = self.connections.remove(place) {
+                lost.connection.reset();
+            }
+        }
+        Ok(())
+    }
+
+    fn bring_back(&mut self, zone: ZoneId) -> io::Result<()> {
+        self.fleet.bring_back(zone);
+        for place in 0..self.listeners.len() {
+            if self.listeners.get(place).is_some_and(|listener| listener.zone == zone) {
+                self.take_calls(place)?;
+            }
+        }
+        Ok(())
+    }
+
+    fn send_garbage(&mut self, workers: u32) {
+        let all = self.connections.places(|found| !found.garbage);
+        let named = |place: usize, connections: &mut Connections| Some(connections.get_mut(place)?.worker);
+        let mut chosen: BTreeSet<WorkerId> =
+            all.iter().filter_map(|place| named(*place, &mut self.connections)).collect();
+        while chosen.len() > workers as usize {
+            chosen.pop_last();
+        }
+        for place in all {
+            let Some(found) = self.connections.get_mut(place) else { continue };
+            if chosen.contains(&found.worker) {
+                found.garbage = true;
+                self.fleet.books.garbage_sent += 1;
+                self.send(place, GARBAGE, 1);
+            }
+        }
+    }
+
+    // ---- Connections ----
+
+    /// A listener takes calls from now on.
+    fn take_calls(&mut self, place: usize) -> io::Result<()> {
+        let zones = self.fleet.setup().zones;
+        let Some(listener) = self.listeners.get_mut(place) else { return Ok(()) };
+        listener.socket.listen()?;
+        let mut handle = listener.socket.handle()?;
+        let token = listener_token(listener.placer, listener.zone, zones);
+        self.poll.registry().register(&mut handle, token, Interest::READABLE)?;
+        listener.handle = Some(handle);
+        Ok(())
+    }
+
+    fn accept(&mut self, token: Token) -> io::Result<()> {
+        loop {
+            let place = token.0.saturating_sub(FIRST_LISTENER.0);
+            let Some(listener) = self.listeners.get(place) else { return Ok(()) };
+            let Some(handle) = &listener.handle else { return Ok(()) };
+            let (placer, zone) = (listener.placer, listener.zone);
+            match handle.accept() {
+                Ok((stream, _)) => self.welcome(stream, placer, zone)?,
+                Err(error) if error.kind() == ErrorKind::WouldBlock => return Ok(()),
+                Err(error) if matches!(error.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted) => {
+                }
+                Err(_) => {
+                    // No descriptor is left. What waits makes no further event, so that it is looked at again.
+                    self.timers.add(Instant::now() + ACCEPT_PAUSE, Due::Accept(token));
+                    return Ok(());
+                }
+            }
+        }
+    }
+
+    /// Takes a call that is for a worker of this zone; any other is dropped.
+    fn welcome(&mut self, stream: TcpStream, placer: PlacerId, zone: ZoneId) -> io::Result<()> {
+        let setup = self.fleet.setup();
+        let Ok(address) = stream.local_addr() else { return Ok(()) };
+        let called = WorkerId::at(address.ip(), setup.workers).filter(|worker| worker.zone(setup.zones) == zone);
+        let (Some(worker), Some(counters)) = (called, self.shared.counters.get(placer.index())) else {
+            return Ok(());
+        };
+        if !is_loopback(address.ip()) || self.fleet.gone(worker) {
+            return Ok(());
+        }
+        let place = self.connections.next_place();
+        let token = Token(FIRST_CONNECTION + place);
+        let connection = Connection::new(stream, token, self.poll.registry(), counters.clone(), None)?;
+        self.connections.add(connection, worker, placer);
+        self.repeat_ends(place, worker, placer);
+        Ok(())
+    }
+
+    /// A new connection begins with the ends that its placer has not confirmed.
+    fn repeat_ends(&mut self, place: usize, worker: WorkerId, placer: PlacerId) {
+        let ends = self.fleet.unheard(worker, placer);
+        let mut bytes = Vec::new();
+        ends.iter().for_each(|(id, cause)| lines::down(&mut bytes, *id, *cause));
+        if !ends.is_empty() {
+            self.send(place, &bytes, ends.len() as u64);
+        }
+    }
+
+    /// Sends messages that carry tasks on a connection.
+    fn send(&mut self, place: usize, bytes: &[u8], messages: u64) {
+        let Some(found) = self.connections.get_mut(place) else { return };
+        found.connection.becomes(TrafficKind::Worker);
+        if found.connection.send(bytes, messages) == Liveness::Ended {
+            self.close(place);
+        }
+    }
+
+    fn close(&mut self, place: usize) {
+        let Some(closed) = self.connections.remove(place) else { return };
+        if closed.garbage {
+            self.fleet.books.garbage_dropped += 1;
+        }
+        // A closed connection gives up the offers on it.
+        closed.open.iter().for_each(|id| self.fleet.forget_offer((closed.worker, *id)));
+    }
+
+    /// Something has happened on a connection.
+    fn serve(&mut self, place: usize) {
+        let Some(found) = self.connections.get_mut(place) else { return };
+        let flushed = found.connection.flush();
+        let filled = found.connection.fill();
+        let read = take_lines(&mut found.connection);
+        let (worker, placer) = (found.worker, found.placer);
+        let mut replies = Replies::default();
+        match read {
+            Ok(lines) => lines.into_iter().for_each(|line| self.take_line(place, worker, placer, line, &mut replies)),
+            Err(_) => {
+                self.fleet.books.bad_messages += 1;
+                return self.close(place);
+            }
+        }
+        if flushed == Liveness::Ended || filled == Liveness::Ended {
+            return self.close(place);
+        }
+        if replies.messages > 0 {
+            self.send(place, &replies.bytes, replies.messages);
+        }
+    }
+
+    fn take_line(
+        &mut self,
+        place: usize,
+        worker: WorkerId,
+        placer: PlacerId,
+        line: PlacerLine,
+        replies: &mut Replies,
+    ) {
+        match line {
+            PlacerLine::Offer(offer) => self.take_offer(place, worker, placer, &offer, replies),
+            PlacerLine::Release { id } => {
+                self.answered(place, id);
+                if let ReleaseReply::Ended(cause) = self.fleet.release((worker, id)) {
+                    replies.add(|bytes| lines::down(bytes, id, cause));
+                }
+            }
+            PlacerLine::Heard { id } => self.fleet.heard((worker, id), Instant::now()),
+            PlacerLine::Test { id } => replies.add(|bytes| lines::test_passed(bytes, id)),
+            PlacerLine::Other => {}
+        }
+    }
+
+    fn take_offer(
+        &mut self,
+        place: usize,
+        worker: WorkerId,
+        placer: PlacerId,
+        offer: &Offer,
+        replies: &mut Replies,
+    ) {
+        match self.fleet.offer(worker, placer, offer) {
+            OfferReply::Starts { after } => {
+                let id = self.connections.id(place);
+                let step = Due::Step(Step::Answer, (worker, offer.id), id);
+                self.timers.add(Instant::now() + after, step);
+                if let Some(found) = self.connections.get_mut(place) {
+                    found.open.push(offer.id);
+                    found.connection.becomes(TrafficKind::Worker);
+                }
+            }
+            OfferReply::Full(why) => replies.add(|bytes| lines::full(bytes, offer.id, why)),
+            OfferReply::Unreadable => replies.add(|bytes| lines::down(bytes, offer.id, cause::FAILED)),
+            OfferReply::Silent => {}
+        }
+    }
+
+    /// An offer on a connection is no longer open.
+    fn answered(&mut self, place: usize, id: SetupId) {
+        if let Some(found) = self.connections.get_mut(place) {
+            found.open.retain(|open| *open != id);
+        }
+    }
+
+    // ---- Time ----
+
+    fn do_what_is_due(&mut self) -> io::Result<()> {
+        let now = Instant::now();
+        while let Some((at, due)) = self.timers.pop_due(now) {
+            match due {
+                Due::Step(Step::Answer, id, on) => self.answer(at, id, on),
+                Due::Step(Step::End, id, on) => self.end(id, on),
+                Due::Accept(token) => self.accept(token)?,
+            }
+        }
+        Ok(())
+    }
+
+    fn answer(&mut self, at: Instant, id: HeldId, on: Option<ConnectionId>) {
+        let Some(life) = self.fleet.answer(id) else { return };
+        self.timers.add(at + life, Due::Step(Step::End, id, on));
+        // Its connection is there: the offer would be forgotten without it.
+        let Some(on) = on else { return };
+        self.answered(on.place, id.1);
+        let mut bytes = Vec::new();
+        lines::up(&mut bytes, id.1, &description::write_answer(id.0));
+        self.send(on.place, &bytes, 1);
+    }
+
+    fn end(&mut self, id: HeldId, on: Option<ConnectionId>) {
+        let Some(placer) = self.fleet.end(id) else { return };
+        if let Some(place) = self.connections.reach(id.0, placer, on) {
+            let mut bytes = Vec::new();
+            lines::down(&mut bytes, id.1, cause::NORMAL);
+            self.send(place, &bytes, 1);
+        }
+    }
+}
+
+/// What is answered to the messages of one read.
+#[derive(Default)]
+struct Replies {
+    bytes: Vec<u8>,
+    messages: u64,
+}
+
+impl Replies {
+    fn add(&mut self, write: impl FnOnce(&mut Vec<u8>)) {
+        write(&mut self.bytes);
+        self.messages += 1;
+    }
+}
+
+/// Takes the whole lines off what has come.
+fn take_lines(connection: &mut Connection) -> Result<Vec<PlacerLine>, WireError> {
+    let mut found = Vec::new();
+    let mut taken = 0;
+    while let Some(end) = lines::line_end(connection.inbox().get(taken..).unwrap_or_default())? {
+        let line = connection.inbox().get(taken..taken + end).unwrap_or_default();
+        found.push(lines::read(line)?);
+        taken += end + 1;
+    }
+    connection.consume(taken);
+    connection.count_read(found.len() as u64);
+    Ok(found)
+}
--- /dev/null
+++ b/crates/scale/tests/command_line.rs
@@ -0,0 +1,121 @@
+//! The command line: what it refuses, what it prints, and that it leaves nothing behind.
+
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Output, Stdio};
+use std::time::{Duration, Instant};
+
+/// No step takes longer.
+const LIMIT: Duration = Duration::from_secs(60);
+
+fn tool() -> Command {
+    Command::new(env!("CARGO_BIN_EXE_anisehead-scale"))
+}
+
+fn plan(name: &str) -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("plans").join(name)
+}
+
+fn output(args: &[&str]) -> Output {
+    tool().args(args).output().expect("it runs")
+}
+
+#[test]
+fn settings_that_can_not_be_meant_end_with_code_2_and_one_line_that_names_them() {
+    let small = plan("small.toml");
+    let small = small.to_str().expect("a path");
+    for (args, says) in [
+        (&["check", "--workers", "0"][..], "setting workers: expected 1 to 16384, found 0"),
+        (&["run", "--workers", "0"], "setting workers: expected 1 to 16384, found 0"),
+        (&["check", small, "--zones", "1"], "setting fault 1: zone: expected one of z0, found z1"),
+        (&["check", small, "--placers", "0"], "setting placers: expected at least 1, as rate = 60, found 0"),
+        (&["check", small, "--duration", "3s"], "setting fault 1: expected at and back-after within"),
+        (&["check", "--set", "sead=1"], "setting sead: expected the name of a setting, found sead=1"),
+        (&["check", "--fault", "{ kind = \"flood\" }"], "setting fault: expected a table"),
+        (&["check", "/nowhere/plan.toml"], "setting file: expected a TOML file, found /nowhere/plan.toml"),
+        (&["check", "--wrokers", "3"], "unexpected argument '--wrokers' found"),
+        (&["walk"], "unrecognized subcommand 'walk'"),
+    ] {
+        let out = output(args);
+        let line = String::from_utf8(out.stderr).expect("text");
+        assert_eq!(out.status.code(), Some(2), "{args:?}: {line}");
+        assert!(line.contains(says), "{args:?}: {line}");
+        assert_eq!(line.lines().count(), 1, "{args:?}: {line}");
+        assert!(out.stdout.is_empty(), "{args:?}");
+    }
+}
+
+#[test]
+fn the_plans_that_come_with_the_package_hold() {
+    for name in ["small.toml", "minute.toml", "target.toml"] {
+        let out = tool().arg("check").arg(plan(name)).output().expect("it runs");
+        let text = String::from_utf8(out.stdout).expect("text");
+        assert!(out.status.success(), "{name}: {}", String::from_utf8_lossy(&out.stderr));
+        assert!(text.contains("# room of a worker: "), "{text}");
+    }
+}
+
+#[test]
+fn a_program_that_can_not_be_started_is_named_and_nothing_is_left() {
+    let out = output(&["run", "--program", "/nowhere/placer", "--duration", "1s", "--warm-up", "0s"]);
+    let line = String::from_utf8(out.stderr).expect("text");
+    assert_eq!(out.status.code(), Some(1), "{line}");
+    assert!(line.contains("placer program /nowhere/placer"), "{line}");
+}
+
+#[test]
+fn a_placer_that_ends_by_itself_ends_the_run_with_its_log() {
+    let out = output(&["run", "--program", "/bin/false", "--duration", "1s", "--warm-up", "0s"]);
+    let line = String::from_utf8(out.stderr).expect("text");
+    assert_eq!(out.status.code(), Some(1), "{line}");
+    assert!(line.contains("ended by itself"), "{line}");
+}
+
+/// Ends with its test.
+struct Running(Child);
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+fn until<T>(what: &str, mut look: impl FnMut() -> Option<T>) -> T {
+    let end = Instant::now() + LIMIT;
+    loop {
+        if let Some(found) = look() {
+            return found;
+        }
+        assert!(Instant::now() < end, "in vain: {what}");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
+
+/// The processes that this one has started.
+fn children(id: u32) -> Vec<u32> {
+    let tasks = std::fs::read_dir(format!("/proc/{id}/task")).into_iter().flatten().flatten();
+    let lists = tasks.filter_map(|task| std::fs::read_to_string(task.path().join("children")).ok());
+    lists.flat_map(|list| list.split_whitespace().filter_map(|id| id.parse().ok()).collect::<Vec<_>>()).collect()
+}
+
+#[test]
+fn sigterm_ends_the_run_and_every_placer_with_it() {
+    let program = std::env::var_os("ANISEHEAD_BIN").map(PathBuf::from);
+    let beside = PathBuf::from(env!("CARGO_BIN_EXE_anisehead-scale")).with_file_name("anisehead");
+    let program = program.unwrap_or(beside);
+    let mut command = tool();
+    command.args(["run", "--duration", "1h", "--program"]).arg(program);
+    let child = command.stdout(Stdio::null()).stderr(Stdio::null()).spawn().expect("it runs");
+    let mut running = Running(child);
+    let placers = until("three placers", || {
+        let found = children(running.0.id());
+        (found.len() == 3).then_some(found)
+    });
+    let id = rustix::process::Pid::from_child(&running.0);
+    rustix::process::kill_process(id, rustix::process::Signal::TERM).expect("it runs");
+    let status = until("its end", || running.0.try_wait().expect("a child"));
+    assert_eq!(status.code(), Some(1));
+    for placer in placers {
+        assert!(!Path::new(&format!("/proc/{placer}")).exists(), "placer {placer} lives");
+    }
+}
