--- a/crates/scale/src/clients.rs
+++ b/crates/scale/src/clients.rs
@@ -103,10 +103,8 @@
     ) -> io::Result<Clients> {
         let poll = Poll::new()?;
         let (orders, taken) = mailbox::mailbox(poll.registry(), thread::MAILBOX)?;
-        let state = Arc::new(Mutex::new(ClientState {
-            ready: vec![None; counters.len()],
-            ..ClientState::default()
-        }));
+        let state =
+            Arc::new(Mutex::new(ClientState { ready: vec![None; counters.len()], ..ClientState::default() }));
         let arrivals = Arrivals::new(settings);
         let tasks = TaskTable::new(standing, &arrivals);
         let doomed: Arc<[AtomicBool]> = counters.iter().map(|_| AtomicBool::new(false)).collect();
--- a/crates/scale/src/clients/tasks/tests.rs
+++ b/crates/scale/src/clients/tasks/tests.rs
@@ -78,8 +78,7 @@
 #[test]
 fn what_stands_at_the_start_is_told_to_its_placer() {
     let settings = Settings::default();
-    let shape =
-        TaskShape { cores: 1.0, memory: 2.0, life: Duration::from_secs(3), once: false };
+    let shape = TaskShape { cores: 1.0, memory: 2.0, life: Duration::from_secs(3), once: false };
     let standing = StandingTask { task: TaskIndex(0), worker: WORKER, placer: PLACER, shape };
     let table = TaskTable::new(&[standing], &Arrivals::new(&settings));
     let told: Vec<(SetupId, WorkerId)> =
--- a/crates/scale/src/clients/thread.rs
+++ b/crates/scale/src/clients/thread.rs
@@ -1,7 +1,7 @@
 //! The event loop of the clients: sends what is due, reads what placers say, and tests them.
 
 use super::arrivals::{Arrival, Arrivals};
-use super::link::{FIRST_CONNECTION, Links, OpenSetup, Purpose};
+use super::link::{FIRST_CONNECTION, Links, OpenSetup};
 use super::tasks::{AnswerEffect, ReleaseEffect, TaskRecord, TaskState, TaskTable};
 use super::{ArrivalWindow, ClientBooks, ClientOrder, ClientState, Timings};
 use crate::deployment::Class;
@@ -344,7 +344,8 @@
         let Some(closed) = self.links.close(place) else { return Ok(()) };
         let placer = closed.placer;
         let there = self.links.get(placer).is_some_and(|link| link.address.is_some());
-        let doomed = self.shared.doomed.get(placer.index()).is_some_and(|doomed| doomed.load(Ordering::SeqCst));
+        let doomed =
+            self.shared.doomed.get(placer.index()).is_some_and(|doomed| doomed.load(Ordering::SeqCst));
         for OpenSetup { id, again } in closed.open {
             let Some(sent) = self.tasks.waits_since(id) else { continue };
             if !there || doomed {
@@ -467,8 +468,7 @@
 fn take_messages(connection: &mut Connection) -> Result<Vec<(SetupId, PlacerMessage)>, WireError> {
     let mut found = Vec::new();
     let mut taken = 0;
-    while let Some((id, message, length)) =
-        binary::read(connection.inbox().get(taken..).unwrap_or_default())?
+    while let Some((id, message, length)) = binary::read(connection.inbox().get(taken..).unwrap_or_default())?
     {
         found.push((id, message));
         taken += length;
--- a/crates/scale/src/deployment.rs
+++ b/crates/scale/src/deployment.rs
@@ -106,9 +106,8 @@
     let share = 1.0 / tenants.len().max(1) as f64;
     // Twice the whole rate: no tenant is held back in a run that keeps to its settings.
     let allowance = 2.0 * settings.rate.max(1.0);
-    let tenants = tenants.iter().map(|name| {
-        json!({ "name": name, "portion": share, "allowance_per_s": allowance })
-    });
+    let tenants =
+        tenants.iter().map(|name| json!({ "name": name, "portion": share, "allowance_per_s": allowance }));
     let classes = Class::ALL.map(Class::as_setting);
     json!({
         "me": placer.0, "n_instances": settings.stated_placers(), "locality": own_zone, "zones": zones,
--- a/crates/scale/src/feeds/thread.rs
+++ b/crates/scale/src/feeds/thread.rs
@@ -217,8 +217,8 @@
                     feed.connection = Some(Connection::new(stream, token, registry, counters, kind)?);
                 }
                 Err(error) if error.kind() == ErrorKind::WouldBlock => return Ok(()),
-                Err(error) if matches!(error.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted) => {
-                }
+                Err(error)
+                    if matches!(error.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted) => {}
                 Err(error) => return Err(error),
             }
         }
--- a/crates/scale/src/listener.rs
+++ b/crates/scale/src/listener.rs
@@ -109,8 +109,6 @@
 
 /// An address at which a program may listen.
 pub fn free_address() -> io::Result<SocketAddr> {
-    let (_, port) = on_free_port(|port| {
-        bind(&socket()?, SocketAddr::from((Ipv4Addr::LOCALHOST, port)))
-    })?;
+    let (_, port) = on_free_port(|port| bind(&socket()?, SocketAddr::from((Ipv4Addr::LOCALHOST, port))))?;
     Ok(SocketAddr::from((Ipv4Addr::LOCALHOST, port)))
 }
--- a/crates/scale/src/results/table.rs
+++ b/crates/scale/src/results/table.rs
@@ -57,7 +57,11 @@
         "ends: {} by themselves, {} reset, {} moved, {} lost with a killed placer; {} worker refusals",
         fleet.ended, fleet.reset, fleet.moved, fleet.lost_with_placer, fleet.worker_refusals
     )?;
-    writeln!(out, "{:<12} {:>8} {:>9} {:>9} {:>9} {:>9}", "to start", "count", "p50 ms", "p90", "p99", "max")?;
+    writeln!(
+        out,
+        "{:<12} {:>8} {:>9} {:>9} {:>9} {:>9}",
+        "to start", "count", "p50 ms", "p90", "p99", "max"
+    )?;
     let late = [("lateness", &fleet.lateness)];
     let classes = fleet.start_times.iter().map(|times| (times.class.as_str(), &times.times));
     for (name, times) in classes.chain(late) {
--- a/crates/scale/src/run/meter.rs
+++ b/crates/scale/src/run/meter.rs
@@ -55,7 +55,9 @@
     /// The first row begins.
     pub fn begin(&mut self, stage: &Stage, sampler: &mut dyn Sampler) {
         self.last = Instant::now();
-        for ((seen, counters), process) in self.placers.iter_mut().zip(&self.counters).zip(stage.process_ids()) {
+        for ((seen, counters), process) in
+            self.placers.iter_mut().zip(&self.counters).zip(stage.process_ids())
+        {
             (seen.process, seen.sample) = sampled(process, sampler);
             (seen.traffic, seen.feed) = (counters.traffic(), counters.feed());
         }
@@ -68,7 +70,9 @@
         // Rows never reach over the start of the measured time, but for the time of a look.
         let measured = start + Duration::from_millis(5) >= self.measured_from;
         let mut all_kb = 0;
-        for ((seen, counters), process) in self.placers.iter_mut().zip(&self.counters).zip(stage.process_ids()) {
+        for ((seen, counters), process) in
+            self.placers.iter_mut().zip(&self.counters).zip(stage.process_ids())
+        {
             let row = seen.row(counters, process, sampler, length);
             let row = PlacerSecond { second: self.second, measured, ..row };
             all_kb += row.pss_kb;
@@ -92,15 +96,14 @@
     /// The results of all placers, with their times from start to ready.
     pub fn finish(self, ready: Vec<Vec<f64>>) -> Vec<PlacerResult> {
         let all = self.placers.into_iter().zip(self.counters).zip(ready);
-        let result = |(place, ((seen, counters), ready_ms)): (u16, ((Seen, Arc<PlacerCounters>), _))| {
-            PlacerResult {
+        let result =
+            |(place, ((seen, counters), ready_ms)): (u16, ((Seen, Arc<PlacerCounters>), _))| PlacerResult {
                 name: PlacerId(place).to_string(),
                 ready_ms,
                 totals: totals(&seen),
                 all_traffic: counters.traffic(),
                 seconds: seen.rows,
-            }
-        };
+            };
         (0..).zip(all).map(result).collect()
     }
 }
--- a/crates/scale/src/settings/check.rs
+++ b/crates/scale/src/settings/check.rs
@@ -26,7 +26,10 @@
         self.check_spans()?;
         self.check_together()?;
         self.check_descriptors(descriptors)?;
-        self.faults.iter().enumerate().try_for_each(|(n, fault)| self.check_fault(&format!("fault {n}"), fault))
+        self.faults
+            .iter()
+            .enumerate()
+            .try_for_each(|(n, fault)| self.check_fault(&format!("fault {n}"), fault))
     }
 
     fn check_values(&self) -> Checked {
@@ -117,7 +120,11 @@
             Fault::Zone { zone, told_after, back_after, .. } => {
                 if self.zone(zone).is_none() {
                     let names = self.zone_names().join(", ");
-                    return Err(SettingsError::new(&format!("{name}: zone"), format!("one of {names}"), zone));
+                    return Err(SettingsError::new(
+                        &format!("{name}: zone"),
+                        format!("one of {names}"),
+                        zone,
+                    ));
                 }
                 span_within(&format!("{name}: told-after"), *told_after, Duration::ZERO..=*back_after)?;
             }
--- a/crates/scale/src/wire/tests.rs
+++ b/crates/scale/src/wire/tests.rs
@@ -58,7 +58,8 @@
     assert_eq!(binary::read(&cut), Err(WireError::BadLength));
     let unknown = [&[0, 9, 77][..], &[1; 8]].concat();
     assert_eq!(binary::read(&unknown), Err(WireError::BadField("type")));
-    for line in [&b"\0\xff"[..], b"[]", b"{}", b"{\"t\":\"new\"}", b"{\"t\":1,\"ref\":\"0000000000000001\"}"] {
+    for line in [&b"\0\xff"[..], b"[]", b"{}", b"{\"t\":\"new\"}", b"{\"t\":1,\"ref\":\"0000000000000001\"}"]
+    {
         assert_eq!(lines::read(line), Err(WireError::BadJson), "{line:?}");
     }
     assert_eq!(lines::read(br#"{"t":"ack","ref":"1"}"#), Err(WireError::BadField("ref")));
--- a/crates/scale/src/workers.rs
+++ b/crates/scale/src/workers.rs
@@ -113,7 +113,8 @@
         let poll = Poll::new()?;
         let (orders, taken) = mailbox::mailbox(poll.registry(), thread::MAILBOX)?;
         let listeners = open_listeners(counters.len(), setup.zones)?;
-        let ports = listeners.iter().map(|zones| zones.iter().map(LoopbackListener::port).collect()).collect();
+        let ports =
+            listeners.iter().map(|zones| zones.iter().map(LoopbackListener::port).collect()).collect();
         let state = Arc::default();
         let mut fleet = fleet::Fleet::new(setup, standing);
         // Before any placer starts: its configuration shows what stands.
--- a/crates/scale/src/workers/thread.rs
+++ b/crates/scale/src/workers/thread.rs
@@ -91,8 +91,7 @@
             }
         }
         let (connections, timers) = (Connections::default(), TimerQueue::default());
-        let mut thread =
-            WorkerThread { poll, fleet, listeners, connections, timers, shared, stopped: false };
+        let mut thread = WorkerThread { poll, fleet, listeners, connections, timers, shared, stopped: false };
         for place in 0..thread.listeners.len() {
             thread.take_calls(place)?;
         }
@@ -228,8 +227,8 @@
             match handle.accept() {
                 Ok((stream, _)) => self.welcome(stream, placer, zone)?,
                 Err(error) if error.kind() == ErrorKind::WouldBlock => return Ok(()),
-                Err(error) if matches!(error.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted) => {
-                }
+                Err(error)
+                    if matches!(error.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted) => {}
                 Err(_) => {
                     // No descriptor is left. What waits makes no further event, so that it is looked at again.
                     self.timers.add(Instant::now() + ACCEPT_PAUSE, Due::Accept(token));
@@ -243,7 +242,8 @@
     fn welcome(&mut self, stream: TcpStream, placer: PlacerId, zone: ZoneId) -> io::Result<()> {
         let setup = self.fleet.setup();
         let Ok(address) = stream.local_addr() else { return Ok(()) };
-        let called = WorkerId::at(address.ip(), setup.workers).filter(|worker| worker.zone(setup.zones) == zone);
+        let called =
+            WorkerId::at(address.ip(), setup.workers).filter(|worker| worker.zone(setup.zones) == zone);
         let (Some(worker), Some(counters)) = (called, self.shared.counters.get(placer.index())) else {
             return Ok(());
         };
@@ -295,7 +295,9 @@
         let (worker, placer) = (found.worker, found.placer);
         let mut replies = Replies::default();
         match read {
-            Ok(lines) => lines.into_iter().for_each(|line| self.take_line(place, worker, placer, line, &mut replies)),
+            Ok(lines) => {
+                lines.into_iter().for_each(|line| self.take_line(place, worker, placer, line, &mut replies))
+            }
             Err(_) => {
                 self.fleet.books.bad_messages += 1;
                 return self.close(place);
--- a/crates/scale/tests/command_line.rs
+++ b/crates/scale/tests/command_line.rs
@@ -95,7 +95,9 @@
 fn children(id: u32) -> Vec<u32> {
     let tasks = std::fs::read_dir(format!("/proc/{id}/task")).into_iter().flatten().flatten();
     let lists = tasks.filter_map(|task| std::fs::read_to_string(task.path().join("children")).ok());
-    lists.flat_map(|list| list.split_whitespace().filter_map(|id| id.parse().ok()).collect::<Vec<_>>()).collect()
+    lists
+        .flat_map(|list| list.split_whitespace().filter_map(|id| id.parse().ok()).collect::<Vec<_>>())
+        .collect()
 }
 
 #[test]
