Scale runs measure the hollow workers' own lateness

Need: late answers of the peers would count as the placers'. Change: from when an answer was due to when it was sent is told, and marks a run as of no use.

--- a/crates/scale/src/clients.rs
+++ b/crates/scale/src/clients.rs
@@ -17,9 +17,9 @@
 use crate::mailbox::{self, Sender};
 use crate::peer_thread::PeerThread;
 use crate::settings::Settings;
+use crate::timing::Times;
 use crate::traffic::PlacerCounters;
 use crate::workers::StandingTask;
-use hdrhistogram::Histogram;
 use mio::Poll;
 use std::io;
 use std::net::SocketAddr;
@@ -68,10 +68,10 @@
 
 /// Times to start, and the generator's own lateness, of the tasks that count.
 pub struct Timings {
-    /// By class, in the order of [`Class::ALL`]: from when the task was due to its answer, in microseconds.
-    pub to_start: [Histogram<u64>; Class::ALL.len()],
-    /// From when the task was due to when its set-up was sent, in microseconds.
-    pub lateness: Histogram<u64>,
+    /// By class, in the order of [`Class::ALL`]: from when the task was due to its answer.
+    pub to_start: [Times; Class::ALL.len()],
+    /// From when the task was due to when its set-up was sent.
+    pub lateness: Times,
 }
 
 /// What the clients noted.
--- a/crates/scale/src/clients/thread.rs
+++ b/crates/scale/src/clients/thread.rs
@@ -10,10 +10,10 @@
 use crate::settings::Settings;
 use crate::socket::{Connection, Liveness};
 use crate::timers::TimerQueue;
+use crate::timing::Times;
 use crate::traffic::PlacerCounters;
 use crate::wire::binary::{self, PlacerMessage, SetUp};
 use crate::wire::{WireError, description};
-use hdrhistogram::Histogram;
 use mio::{Events, Poll, Token};
 use std::io::{self, ErrorKind};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -34,10 +34,6 @@
 const ANSWER_GRACE: Duration = Duration::from_secs(1);
 /// A set-up that crosses a close within this time goes out again, once (the protocol's figure).
 const CROSSED: Duration = Duration::from_millis(50);
-/// The longest time that is told apart, in microseconds: above all waits.
-const LONGEST_TIMED: u64 = 600_000_000;
-/// Significant digits of times.
-const DIGITS: u8 = 3;
 
 /// What the clients share with others.
 pub struct Shared {
@@ -78,10 +74,6 @@
     stopped: bool,
 }
 
-fn histogram() -> io::Result<Histogram<u64>> {
-    Histogram::new_with_bounds(1, LONGEST_TIMED, DIGITS).map_err(io::Error::other)
-}
-
 impl ClientThread {
     /// Clients that know these tasks.
     pub fn new(
@@ -94,7 +86,7 @@
         let kept = usize::from(settings.client_connections);
         let state = ClientState { ready: vec![None; shared.counters.len()], ..ClientState::default() };
         let timings =
-            Timings { to_start: [histogram()?, histogram()?, histogram()?], lateness: histogram()? };
+            Timings { to_start: [Times::new()?, Times::new()?, Times::new()?], lateness: Times::new()? };
         Ok(ClientThread {
             poll,
             links: Links::new(shared.counters.clone(), kept),
@@ -210,7 +202,7 @@
         }
         if measured {
             let late = Instant::now().saturating_duration_since(due);
-            record_time(&mut self.timings.lateness, late);
+            self.timings.lateness.add(late);
         }
         Ok(())
     }
@@ -395,8 +387,7 @@
                 if let Some(TaskRecord { due: Some(due), class, measured: true, moves: 0, .. }) = record
                     && let Some(times) = self.timings.to_start.get_mut(place_of(*class))
                 {
-                    let time = due.elapsed();
-                    record_time(times, time);
+                    times.add(due.elapsed());
                 }
             }
             AnswerEffect::Second => self.second_answers += 1,
@@ -436,10 +427,6 @@
     Class::ALL.iter().position(|other| *other == class).unwrap_or(0)
 }
 
-fn record_time(times: &mut Histogram<u64>, time: Duration) {
-    times.saturating_record(u64::try_from(time.as_micros()).unwrap_or(u64::MAX));
-}
-
 fn write_set_up(
     out: &mut Vec<u8>,
     id: SetupId,
--- a/crates/scale/src/lib.rs
+++ b/crates/scale/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod settings;
 pub mod socket;
 pub mod timers;
+pub mod timing;
 pub mod traffic;
 pub mod wire;
 pub mod workers;
--- a/crates/scale/src/results.rs
+++ b/crates/scale/src/results.rs
@@ -5,6 +5,7 @@
 pub use table::print;
 
 use crate::settings::Settings;
+use crate::timing::Times;
 use crate::traffic::{ControlTraffic, FeedCounts, ServiceTraffic, Traffic};
 use serde::{Deserialize, Serialize};
 
@@ -90,8 +91,10 @@
     pub starts_per_s: f64,
     /// Times to start of the measured tasks, by class.
     pub start_times: Vec<ClassTimes>,
-    /// The generator's own lateness.
+    /// The generator's own lateness: from when tasks were due to when their set-ups were sent.
     pub lateness: Percentiles,
+    /// The workers' own lateness: from when answers were due to when they were sent, over the whole run.
+    pub worker_lateness: Percentiles,
 }
 
 impl FleetTotals {
@@ -301,8 +304,9 @@
 }
 
 impl Percentiles {
-    /// Of times in microseconds.
-    pub fn of(times: &hdrhistogram::Histogram<u64>) -> Percentiles {
+    /// Of these times.
+    pub fn of(times: &Times) -> Percentiles {
+        let times = times.histogram();
         let at = |quantile: f64| times.value_at_quantile(quantile) as f64 / 1e3;
         if times.is_empty() {
             return Percentiles::default();
--- a/crates/scale/src/results/table.rs
+++ b/crates/scale/src/results/table.rs
@@ -62,7 +62,7 @@
         "{:<12} {:>8} {:>9} {:>9} {:>9} {:>9}",
         "to start", "count", "p50 ms", "p90", "p99", "max"
     )?;
-    let late = [("lateness", &fleet.lateness)];
+    let late = [("lateness", &fleet.lateness), ("of workers", &fleet.worker_lateness)];
     let classes = fleet.start_times.iter().map(|times| (times.class.as_str(), &times.times));
     for (name, times) in classes.chain(late) {
         writeln!(
--- a/crates/scale/src/run.rs
+++ b/crates/scale/src/run.rs
@@ -18,7 +18,7 @@
 use crate::process_sample::Sampler;
 use crate::results::{ClassTimes, FleetTotals, Percentiles, RunResult};
 use crate::settings::Settings;
-use crate::workers::{WorkerBooks, WorkerOrder};
+use crate::workers::{WorkerOrder, WorkerReport};
 use meter::Meter;
 use rustix::process::{Resource, getrlimit};
 use schedule::Schedule;
@@ -233,7 +233,7 @@
 /// Ends everything, and puts the result together.
 fn finish(settings: &Settings, stage: Stage, meter: Meter, kills: &[Kill]) -> Result<RunResult, RunError> {
     let ended = stage.stop()?;
-    let fleet = fleet_totals(settings, &ended.client_books, &ended.worker_books, kills);
+    let fleet = fleet_totals(settings, &ended.clients, &ended.workers, kills);
     let reason = late_reason(settings, &fleet);
     let (memory, processes) = (meter.memory(), 1 + usize::from(settings.placers));
     Ok(RunResult {
@@ -251,14 +251,15 @@
 fn fleet_totals(
     settings: &Settings,
     clients: &ClientBooks,
-    workers: &WorkerBooks,
+    workers: &WorkerReport,
     kills: &[Kill],
 ) -> FleetTotals {
     let mut totals = FleetTotals::default();
-    audit(&mut totals, &clients.tasks, workers, kills);
+    audit(&mut totals, &clients.tasks, &workers.books, kills);
     totals.answered_twice = clients.second_answers;
     totals.bad_messages += clients.bad_messages;
     totals.lateness = Percentiles::of(&clients.timings.lateness);
+    totals.worker_lateness = Percentiles::of(&workers.lateness);
     let classes = Class::ALL.iter().zip(&clients.timings.to_start);
     let times = |(class, times): (&Class, _)| ClassTimes {
         class: class.name().to_string(),
@@ -270,10 +271,13 @@
     totals
 }
 
-/// Why the generator's own lateness makes a run of no use, if it does.
+/// Why the hollow peers' own lateness makes a run of no use, if it does.
 fn late_reason(settings: &Settings, fleet: &FleetTotals) -> Option<String> {
     let limit_ms = settings.lateness_limit.as_secs_f64() * 1e3;
-    let found = fleet.lateness.p99_ms;
     let limit = humantime::format_duration(settings.lateness_limit);
-    (found > limit_ms).then(|| format!("the generator itself was late: p99 {found:.1} ms, over {limit}"))
+    let peers = [("clients", fleet.lateness.p99_ms), ("workers", fleet.worker_lateness.p99_ms)];
+    let late = peers.into_iter().find(|(_, p99_ms)| *p99_ms > limit_ms);
+    late.map(|(who, p99_ms)| {
+        format!("the hollow {who} themselves were late: p99 {p99_ms:.1} ms, over {limit}")
+    })
 }
--- a/crates/scale/src/run/stage.rs
+++ b/crates/scale/src/run/stage.rs
@@ -11,9 +11,9 @@
 use crate::placer_process::{Launch, PlacerProcess};
 use crate::settings::Settings;
 use crate::traffic::{Direction, PlacerCounters, TrafficKind, Volume};
-use crate::workers::{WorkerBooks, WorkerOrder, WorkerSetup, WorkerState, Workers};
+use crate::workers::{WorkerOrder, WorkerReport, WorkerSetup, WorkerState, Workers};
 use std::io;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime};
 use tempfile::TempDir;
@@ -34,13 +34,43 @@
 /// What is left when all has ended.
 pub struct Ended {
     /// What the clients noted.
-    pub client_books: ClientBooks,
+    pub clients: ClientBooks,
     /// What the workers noted.
-    pub worker_books: WorkerBooks,
+    pub workers: WorkerReport,
     /// From each start of each placer to its first passed test, in milliseconds.
     pub ready: Vec<Vec<f64>>,
 }
 
+/// Where the placers' files are.
+enum Folder {
+    /// It goes with this value.
+    Temporary(TempDir),
+    /// It stays.
+    Kept(PathBuf),
+}
+
+impl Folder {
+    fn open(settings: &Settings) -> Result<Folder, RunError> {
+        match &settings.keep_files {
+            Some(path) => {
+                std::fs::create_dir_all(path).map_err(RunError::system("make the folder of keep-files"))?;
+                Ok(Folder::Kept(path.clone()))
+            }
+            None => {
+                let folder = tempfile::Builder::new().prefix("anisehead-scale-").tempdir();
+                folder.map(Folder::Temporary).map_err(RunError::system("make a folder"))
+            }
+        }
+    }
+
+    fn path(&self) -> &Path {
+        match self {
+            Folder::Temporary(folder) => folder.path(),
+            Folder::Kept(path) => path,
+        }
+    }
+}
+
 struct Member {
     process: PlacerProcess,
     restarts: u32,
@@ -57,15 +87,13 @@
     feeds: Feeds,
     counters: Vec<Arc<PlacerCounters>>,
     settings: Settings,
-    /// Where the placers' files are; goes with this value.
-    folder: TempDir,
+    folder: Folder,
 }
 
 impl Stage {
     /// Starts the hollow peers, then the placers.
     pub fn start(settings: &Settings, program: &Path) -> Result<Stage, RunError> {
-        let folder = tempfile::Builder::new().prefix("anisehead-scale-").tempdir();
-        let folder = folder.map_err(RunError::system("make a folder"))?;
+        let folder = Folder::open(settings)?;
         let counters: Vec<Arc<PlacerCounters>> = (0..settings.placers).map(|_| Arc::default()).collect();
         let peers = |peers| move |source| RunError::Peers { peers, source };
         let standing = standing_tasks(settings);
@@ -240,11 +268,11 @@
         let Stage { members, clients, workers, feeds, .. } = self;
         let peers = |peers| move |source| RunError::Peers { peers, source };
         // Peers end first: what the end of a placer would make them say is not owed any more.
-        let client_books = clients.stop().map_err(peers("clients"))?;
-        let worker_books = workers.stop().map_err(peers("workers"))?;
+        let clients = clients.stop().map_err(peers("clients"))?;
+        let workers = workers.stop().map_err(peers("workers"))?;
         feeds.stop().map_err(peers("feeds"))?;
         let ready = members.into_iter().map(|member| member.ready_ms.clone()).collect();
-        Ok(Ended { client_books, worker_books, ready })
+        Ok(Ended { clients, workers, ready })
     }
 }
 
--- a/crates/scale/src/settings.rs
+++ b/crates/scale/src/settings.rs
@@ -9,7 +9,7 @@
 
 use crate::identity::ZoneId;
 use serde::{Deserialize, Serialize};
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::time::Duration;
 
 /// Settings that can't be meant: one line that names the setting, what was expected and what was found.
@@ -125,6 +125,9 @@
     pub whole_list_every: Duration,
     /// List events a second beyond those that the run itself makes: each tells one worker's entry again.
     pub events: f64,
+    /// A folder in which the placers' configurations and logs stay; without it they go with the run.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub keep_files: Option<PathBuf>,
     /// What fails, and when.
     #[serde(rename = "fault")]
     pub faults: Vec<Fault>,
@@ -162,6 +165,7 @@
             feed_period: Duration::from_millis(200),
             whole_list_every: Duration::ZERO,
             events: 0.0,
+            keep_files: None,
             faults: Vec::new(),
         }
     }
--- a/crates/scale/src/settings/flags.rs
+++ b/crates/scale/src/settings/flags.rs
@@ -125,6 +125,10 @@
         "lateness-limit" => span(&mut settings.lateness_limit, name, text),
         "feed-period" => span(&mut settings.feed_period, name, text),
         "whole-list-every" => span(&mut settings.whole_list_every, name, text),
+        "keep-files" => {
+            settings.keep_files = Some(PathBuf::from(text));
+            Ok(())
+        }
         "feed" => word::<FeedRule>(&mut settings.feed, name, "each-change or gathered", text),
         "connect" => word::<Connect>(&mut settings.connect, name, "on-demand or all", text),
         _ => Err(SettingsError::new(name, "the name of a setting", format_args!("{name}={text}"))),
--- /dev/null
+++ b/crates/scale/src/timing.rs
@@ -0,0 +1,31 @@
+//! Histograms of times.
+
+use hdrhistogram::Histogram;
+use std::io;
+use std::time::Duration;
+
+/// The longest time that is told apart, in microseconds: above all waits.
+const LONGEST: u64 = 600_000_000;
+/// Significant digits.
+const DIGITS: u8 = 3;
+
+/// Times, in microseconds.
+#[derive(Debug, Clone)]
+pub struct Times(Histogram<u64>);
+
+impl Times {
+    /// None yet.
+    pub fn new() -> io::Result<Times> {
+        Histogram::new_with_bounds(1, LONGEST, DIGITS).map(Times).map_err(io::Error::other)
+    }
+
+    /// Adds a time; one beyond the longest counts as the longest.
+    pub fn add(&mut self, time: Duration) {
+        self.0.saturating_record(u64::try_from(time.as_micros()).unwrap_or(u64::MAX));
+    }
+
+    /// All of them.
+    pub fn histogram(&self) -> &Histogram<u64> {
+        &self.0
+    }
+}
--- a/crates/scale/src/workers.rs
+++ b/crates/scale/src/workers.rs
@@ -18,6 +18,7 @@
 use crate::mailbox::{self, Sender};
 use crate::peer_thread::PeerThread;
 use crate::settings::Settings;
+use crate::timing::Times;
 use crate::traffic::PlacerCounters;
 use crate::wire::description::TaskShape;
 use mio::{Poll, Token};
@@ -66,6 +67,14 @@
     pub connections: usize,
 }
 
+/// What the workers noted, and how well they did.
+pub struct WorkerReport {
+    /// What they noted.
+    pub books: WorkerBooks,
+    /// From when an answer was due to when it was sent.
+    pub lateness: Times,
+}
+
 /// How all workers are set up.
 #[derive(Debug, Clone)]
 pub struct WorkerSetup {
@@ -98,7 +107,7 @@
 pub struct Workers {
     orders: Sender<WorkerOrder>,
     state: Arc<std::sync::Mutex<WorkerState>>,
-    thread: PeerThread<WorkerBooks>,
+    thread: PeerThread<WorkerReport>,
     ports: Vec<Vec<u16>>,
 }
 
@@ -120,7 +129,7 @@
         // Before any placer starts: its configuration shows what stands.
         feeds.send(FeedOrder::Rooms(fleet.take_changed_rooms()));
         let shared = thread::Shared { counters, feeds, orders: taken, state: Arc::clone(&state) };
-        let mut running = thread::WorkerThread::new(poll, fleet, listeners, shared)?;
+        let running = thread::WorkerThread::new(poll, fleet, listeners, shared)?;
         let thread = PeerThread::spawn("workers", move || running.run())?;
         Ok(Workers { orders, state, thread, ports })
     }
@@ -145,8 +154,8 @@
         self.thread.failure()
     }
 
-    /// Ends them; their books.
-    pub fn stop(mut self) -> io::Result<WorkerBooks> {
+    /// Ends them; what they noted.
+    pub fn stop(mut self) -> io::Result<WorkerReport> {
         self.orders.send(WorkerOrder::Stop);
         self.thread.join()
     }
--- a/crates/scale/src/workers/thread.rs
+++ b/crates/scale/src/workers/thread.rs
@@ -1,16 +1,16 @@
 //! The event loop of the workers: accepts, reads, answers when answers are due, and tells the feeds what
 //! has changed.
 
-use super::audit_book::WorkerBooks;
 use super::connections::{ConnectionId, Connections};
 use super::fleet::{Fleet, HeldId, OfferReply, ReleaseReply, Step};
-use super::{WorkerOrder, WorkerState, listener_token};
+use super::{WorkerOrder, WorkerReport, WorkerState, listener_token};
 use crate::feeds::FeedOrder;
 use crate::identity::{PlacerId, SetupId, WorkerId, ZoneId};
 use crate::listener::{LoopbackListener, is_loopback};
 use crate::mailbox::{Receiver, Sender};
 use crate::socket::{Connection, Liveness};
 use crate::timers::TimerQueue;
+use crate::timing::Times;
 use crate::traffic::{PlacerCounters, TrafficKind};
 use crate::wire::lines::{self, Offer, PlacerLine};
 use crate::wire::{WireError, cause, description};
@@ -73,6 +73,7 @@
     connections: Connections,
     timers: TimerQueue<Due>,
     shared: Shared,
+    lateness: Times,
     stopped: bool,
 }
 
@@ -91,15 +92,17 @@
             }
         }
         let (connections, timers) = (Connections::default(), TimerQueue::default());
-        let mut thread = WorkerThread { poll, fleet, listeners, connections, timers, shared, stopped: false };
+        let (lateness, stopped) = (Times::new()?, false);
+        let mut thread =
+            WorkerThread { poll, fleet, listeners, connections, timers, shared, lateness, stopped };
         for place in 0..thread.listeners.len() {
             thread.take_calls(place)?;
         }
         Ok(thread)
     }
 
-    /// Runs until it is stopped; the books.
-    pub fn run(&mut self) -> io::Result<WorkerBooks> {
+    /// Runs until it is stopped; what was noted.
+    pub fn run(mut self) -> io::Result<WorkerReport> {
         let mut events = Events::with_capacity(EVENTS);
         while !self.stopped {
             let wait = self.timers.wait(Instant::now(), LONGEST_WAIT);
@@ -119,7 +122,7 @@
             self.tell();
         }
         self.fleet.books.unheard = self.fleet.unheard_count() as u64;
-        Ok(std::mem::take(&mut self.fleet.books))
+        Ok(WorkerReport { books: self.fleet.books, lateness: self.lateness })
     }
 
     /// Tells the feeds what has changed, and the run what is in hand.
@@ -380,6 +383,7 @@
 
     fn answer(&mut self, at: Instant, id: HeldId, on: Option<ConnectionId>) {
         let Some(life) = self.fleet.answer(id) else { return };
+        self.lateness.add(at.elapsed());
         self.timers.add(at + life, Due::Step(Step::End, id, on));
         // Its connection is there: the offer would be forgotten without it.
         let Some(on) = on else { return };
