--- a/crates/scale/src/run/stage.rs
+++ b/crates/scale/src/run/stage.rs
@@ -98,8 +98,7 @@
         let peers = |peers| move |source| RunError::Peers { peers, source };
         let standing = standing_tasks(settings);
         let feeds = Feeds::start(settings, counters.clone()).map_err(peers("feeds"))?;
-        let setup = WorkerSetup::of(settings);
-        let workers = Workers::start(setup, &standing, counters.clone(), feeds.orders());
+        let workers = Workers::start(&WorkerSetup::of(settings), &standing, &counters, &feeds.orders());
         let workers = workers.map_err(peers("workers"))?;
         let clients = Clients::start(settings, &standing, counters.clone()).map_err(peers("clients"))?;
         let settings = settings.clone();
--- a/crates/scale/src/socket.rs
+++ b/crates/scale/src/socket.rs
@@ -53,14 +53,23 @@
         counters: Arc<PlacerCounters>,
         kind: Option<TrafficKind>,
     ) -> io::Result<Connection> {
-        // Without it small messages wait for the peer's acknowledgements. It is no harm where it fails.
-        let _ = stream.set_nodelay(true);
         registry.register(&mut stream, token, Interest::READABLE | Interest::WRITABLE)?;
+        let (inbox, outbox, uncounted) = (Vec::new(), Vec::new(), Uncounted::default());
+        let connection =
+            Connection { stream, inbox, outbox, written: 0, counters, kind, uncounted, ended: false };
         if let Some(kind) = kind {
-            counters.add_connection(kind);
+            connection.use_for(kind);
+        }
+        Ok(connection)
+    }
+
+    /// It is of this kind, and about to be written to.
+    fn use_for(&self, kind: TrafficKind) {
+        self.counters.add_connection(kind);
+        // Without it small messages wait for the peer's acknowledgements. It is no harm where it fails.
+        if kind != TrafficKind::IdleWorker {
+            let _ = self.stream.set_nodelay(true);
         }
-        let (inbox, outbox, uncounted) = (Vec::new(), Vec::new(), Uncounted::default());
-        Ok(Connection { stream, inbox, outbox, written: 0, counters, kind, uncounted, ended: false })
     }
 
     /// What is known of its use, if anything.
@@ -74,7 +83,7 @@
             return;
         }
         self.kind = Some(kind);
-        self.counters.add_connection(kind);
+        self.use_for(kind);
         let Uncounted { to_placer, from_placer } = std::mem::take(&mut self.uncounted);
         self.counters.add(kind, Direction::ToPlacer, to_placer);
         self.counters.add(kind, Direction::FromPlacer, from_placer);
--- a/crates/scale/src/timing.rs
+++ b/crates/scale/src/timing.rs
@@ -24,6 +24,12 @@
         self.0.saturating_record(u64::try_from(time.as_micros()).unwrap_or(u64::MAX));
     }
 
+    /// Adds all of others.
+    pub fn merge(&mut self, others: &Times) {
+        // Both have the same bounds, so that it does not fail.
+        let _ = self.0.add(&others.0);
+    }
+
     /// All of them.
     pub fn histogram(&self) -> &Histogram<u64> {
         &self.0
--- a/crates/scale/src/workers.rs
+++ b/crates/scale/src/workers.rs
@@ -1,9 +1,10 @@
-//! Thousands of hollow workers on one thread.
+//! Thousands of hollow workers on a few threads.
 //!
 //! Each placer reaches each worker at an address of the worker and a port of the placer and the worker's
 //! zone, so that one listening socket serves all workers of a zone, and the port tells who calls. What the
 //! workers hold is in [`fleet::Fleet`], which knows nothing of sockets; [`thread::WorkerThread`] moves
-//! messages between it and the connections.
+//! messages between it and the connections. Zones share nothing, so that each thread has the workers of some
+//! zones to itself.
 
 mod audit_book;
 mod connections;
@@ -21,9 +22,9 @@
 use crate::timing::Times;
 use crate::traffic::PlacerCounters;
 use crate::wire::description::TaskShape;
-use mio::{Poll, Token};
+use mio::Poll;
 use std::io;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 /// A task that stands at the start.
@@ -103,35 +104,50 @@
     }
 }
 
-/// All hollow workers.
-pub struct Workers {
+/// Threads at the most: with more, placers on the same machine have less of it.
+const MOST_THREADS: usize = 4;
+
+/// One thread with the workers of some zones.
+struct Group {
     orders: Sender<WorkerOrder>,
-    state: Arc<std::sync::Mutex<WorkerState>>,
+    state: Arc<Mutex<WorkerState>>,
     thread: PeerThread<WorkerReport>,
+}
+
+/// All hollow workers.
+pub struct Workers {
+    groups: Vec<Group>,
     ports: Vec<Vec<u16>>,
 }
 
 impl Workers {
     /// Starts them, with the tasks that stand.
     pub fn start(
-        setup: WorkerSetup,
+        setup: &WorkerSetup,
         standing: &[StandingTask],
-        counters: Vec<Arc<PlacerCounters>>,
-        feeds: Sender<FeedOrder>,
+        counters: &[Arc<PlacerCounters>],
+        feeds: &Sender<FeedOrder>,
     ) -> io::Result<Workers> {
-        let poll = Poll::new()?;
-        let (orders, taken) = mailbox::mailbox(poll.registry(), thread::MAILBOX)?;
         let listeners = open_listeners(counters.len(), setup.zones)?;
         let ports =
             listeners.iter().map(|zones| zones.iter().map(LoopbackListener::port).collect()).collect();
-        let state = Arc::default();
-        let mut fleet = fleet::Fleet::new(setup, standing);
-        // Before any placer starts: its configuration shows what stands.
-        feeds.send(FeedOrder::Rooms(fleet.take_changed_rooms()));
-        let shared = thread::Shared { counters, feeds, orders: taken, state: Arc::clone(&state) };
-        let running = thread::WorkerThread::new(poll, fleet, listeners, shared)?;
-        let thread = PeerThread::spawn("workers", move || running.run())?;
-        Ok(Workers { orders, state, thread, ports })
+        let count = MOST_THREADS.min(setup.zones as usize).max(1);
+        let mut dealt: Vec<Vec<ZoneListener>> = (0..count).map(|_| Vec::new()).collect();
+        for (placer, zones) in (0_u16..).map(PlacerId).zip(listeners) {
+            for (zone, socket) in (0_u32..).map(ZoneId).zip(zones) {
+                if let Some(group) = dealt.get_mut(group_of(zone, count)) {
+                    group.push(ZoneListener { placer, zone, socket });
+                }
+            }
+        }
+        let mut groups = Vec::new();
+        for (number, listeners) in dealt.into_iter().enumerate() {
+            let here = |task: &&StandingTask| group_of(task.worker.zone(setup.zones), count) == number;
+            let standing: Vec<StandingTask> = standing.iter().filter(here).copied().collect();
+            let shared = GroupParts { counters: counters.to_vec(), feeds: feeds.clone(), listeners };
+            groups.push(Group::start(number, setup, &standing, shared)?);
+        }
+        Ok(Workers { groups, ports })
     }
 
     /// The port at which a placer reaches the workers of each zone.
@@ -139,43 +155,100 @@
         self.ports.get(placer.index()).map_or(&[], Vec::as_slice)
     }
 
-    /// Tells them something.
+    /// Tells them something: of a zone to those who have it, garbage to the first, the rest to all.
     pub fn order(&self, order: WorkerOrder) {
-        self.orders.send(order);
+        let only = match order {
+            WorkerOrder::Vanish(zone) | WorkerOrder::Return(zone) => Some(group_of(zone, self.groups.len())),
+            WorkerOrder::Garbage(_) => Some(0),
+            WorkerOrder::Begin | WorkerOrder::Freeze | WorkerOrder::Stop => None,
+        };
+        let told = self.groups.iter().enumerate().filter(|(n, _)| only.is_none_or(|only| only == *n));
+        told.for_each(|(_, group)| group.orders.send(order));
     }
 
     /// What they have in hand.
     pub fn state(&self) -> WorkerState {
-        *self.state.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+        let mut all = WorkerState::default();
+        for group in &self.groups {
+            let state = *group.state.lock().unwrap_or_else(PoisonError::into_inner);
+            all.held += state.held;
+            all.unheard += state.unheard;
+            all.connections += state.connections;
+        }
+        all
     }
 
-    /// The error on which their thread has ended, if it has.
+    /// The error on which a thread of theirs has ended, if one has.
     pub fn failure(&mut self) -> Option<io::Error> {
-        self.thread.failure()
+        self.groups.iter_mut().find_map(|group| group.thread.failure())
     }
 
     /// Ends them; what they noted.
     pub fn stop(mut self) -> io::Result<WorkerReport> {
-        self.orders.send(WorkerOrder::Stop);
-        self.thread.join()
+        self.order(WorkerOrder::Stop);
+        let mut all = WorkerReport { books: WorkerBooks::default(), lateness: Times::new()? };
+        for group in &mut self.groups {
+            let report = group.thread.join()?;
+            all.books.add(&report.books);
+            all.lateness.merge(&report.lateness);
+        }
+        Ok(all)
     }
 }
 
 impl Drop for Workers {
     fn drop(&mut self) {
-        self.orders.send(WorkerOrder::Stop);
-        // It has ended already where the run came to its end.
-        let _ = self.thread.join();
+        self.order(WorkerOrder::Stop);
+        // They have ended already where the run came to its end.
+        self.groups.iter_mut().for_each(|group| drop(group.thread.join()));
+    }
+}
+
+/// What one thread takes part with.
+struct GroupParts {
+    counters: Vec<Arc<PlacerCounters>>,
+    feeds: Sender<FeedOrder>,
+    listeners: Vec<ZoneListener>,
+}
+
+impl Group {
+    fn start(
+        number: usize,
+        setup: &WorkerSetup,
+        standing: &[StandingTask],
+        parts: GroupParts,
+    ) -> io::Result<Group> {
+        let GroupParts { counters, feeds, listeners } = parts;
+        let poll = Poll::new()?;
+        let (orders, taken) = mailbox::mailbox(poll.registry(), thread::MAILBOX)?;
+        let state = Arc::default();
+        let mut fleet = fleet::Fleet::new(setup.clone(), standing);
+        // Before any placer starts: its configuration shows what stands.
+        feeds.send(FeedOrder::Rooms(fleet.take_changed_rooms()));
+        let shared = thread::Shared { counters, feeds, orders: taken, state: Arc::clone(&state) };
+        let running = thread::WorkerThread::new(poll, fleet, listeners, shared)?;
+        let thread = PeerThread::spawn(&format!("workers-{number}"), move || running.run())?;
+        Ok(Group { orders, state, thread })
     }
 }
 
+/// The thread that has the workers of a zone.
+fn group_of(zone: ZoneId, groups: usize) -> usize {
+    zone.0 as usize % groups.max(1)
+}
+
+/// A socket that listens for the calls of one placer to the workers of one zone.
+pub struct ZoneListener {
+    /// Whose calls.
+    pub placer: PlacerId,
+    /// To which workers.
+    pub zone: ZoneId,
+    /// The socket.
+    pub socket: LoopbackListener,
+}
+
 /// The listeners of each placer, by zone.
 fn open_listeners(placers: usize, zones: u32) -> io::Result<Vec<Vec<LoopbackListener>>> {
     let for_zones = || (0..zones).map(|_| LoopbackListener::open()).collect();
     (0..placers).map(|_| for_zones()).collect()
 }
-
-/// The token of a listener.
-fn listener_token(placer: PlacerId, zone: ZoneId, zones: u32) -> Token {
-    Token(thread::FIRST_LISTENER.0 + placer.index() * zones as usize + zone.0 as usize)
-}
--- a/crates/scale/src/workers/audit_book.rs
+++ b/crates/scale/src/workers/audit_book.rs
@@ -55,4 +55,31 @@
             note(book);
         }
     }
+
+    /// Adds what others noted.
+    pub fn add(&mut self, others: &WorkerBooks) {
+        for (task, other) in (0..).map(TaskIndex).zip(&others.tasks) {
+            if *other != TaskBook::default() {
+                self.note(task, |book| book.add(other));
+            }
+        }
+        self.bad_offers += others.bad_offers;
+        self.unheard += others.unheard;
+        self.garbage_sent += others.garbage_sent;
+        self.garbage_dropped += others.garbage_dropped;
+        self.bad_messages += others.bad_messages;
+        self.starts_after_return += others.starts_after_return;
+    }
+}
+
+impl TaskBook {
+    fn add(&mut self, other: &TaskBook) {
+        self.starts = self.starts.saturating_add(other.starts);
+        self.refusals = self.refusals.saturating_add(other.refusals);
+        self.ended = self.ended.saturating_add(other.ended);
+        self.cut = self.cut.saturating_add(other.cut);
+        self.vanished = self.vanished.saturating_add(other.vanished);
+        self.held = self.held.saturating_add(other.held);
+        self.heard = self.heard.max(other.heard);
+    }
 }
--- a/crates/scale/src/workers/thread.rs
+++ b/crates/scale/src/workers/thread.rs
@@ -3,10 +3,10 @@
 
 use super::connections::{ConnectionId, Connections};
 use super::fleet::{Fleet, HeldId, OfferReply, ReleaseReply, Step};
-use super::{WorkerOrder, WorkerReport, WorkerState, listener_token};
+use super::{WorkerOrder, WorkerReport, WorkerState, ZoneListener};
 use crate::feeds::FeedOrder;
 use crate::identity::{PlacerId, SetupId, WorkerId, ZoneId};
-use crate::listener::{LoopbackListener, is_loopback};
+use crate::listener::is_loopback;
 use crate::mailbox::{Receiver, Sender};
 use crate::socket::{Connection, Liveness};
 use crate::timers::TimerQueue;
@@ -23,12 +23,14 @@
 
 /// Where orders come in.
 pub const MAILBOX: Token = Token(0);
-/// The first of the listeners, by placer and zone.
-pub const FIRST_LISTENER: Token = Token(1);
+/// The first of the listeners' tokens.
+const FIRST_LISTENER: usize = 1;
 /// The first of the connections: above all listeners.
 const FIRST_CONNECTION: usize = 1 << 24;
 /// Events taken in one turn.
-const EVENTS: usize = 1_024;
+const EVENTS: usize = 128;
+/// Connections of one listener that are accepted in one turn.
+const ACCEPTS: usize = 32;
 /// The longest wait for events.
 const LONGEST_WAIT: Duration = Duration::from_millis(100);
 /// How soon accepting is tried again where the system had no descriptor left.
@@ -53,16 +55,14 @@
     /// A step of a task, and the connection that its offer came on.
     Step(Step, HeldId, Option<ConnectionId>),
     /// Accepting is tried again.
-    Accept(Token),
+    Accept(usize),
 }
 
 struct Listener {
     /// Keeps the port, also while it refuses calls.
-    socket: LoopbackListener,
+    zone: ZoneListener,
     /// What the event loop accepts from, while it takes calls.
     handle: Option<TcpListener>,
-    placer: PlacerId,
-    zone: ZoneId,
 }
 
 /// The workers' thread.
@@ -78,19 +78,14 @@
 }
 
 impl WorkerThread {
-    /// Workers with these listeners, by placer and zone.
+    /// Workers with these listeners.
     pub fn new(
         poll: Poll,
         fleet: Fleet,
-        sockets: Vec<Vec<LoopbackListener>>,
+        listeners: Vec<ZoneListener>,
         shared: Shared,
     ) -> io::Result<WorkerThread> {
-        let mut listeners = Vec::new();
-        for (placer, zones) in (0_u16..).map(PlacerId).zip(sockets) {
-            for (zone, socket) in (0_u32..).map(ZoneId).zip(zones) {
-                listeners.push(Listener { socket, handle: None, placer, zone });
-            }
-        }
+        let listeners = listeners.into_iter().map(|zone| Listener { zone, handle: None }).collect();
         let (connections, timers) = (Connections::default(), TimerQueue::default());
         let (lateness, stopped) = (Times::new()?, false);
         let mut thread =
@@ -114,7 +109,7 @@
                 match event.token() {
                     MAILBOX => {}
                     Token(token) if token >= FIRST_CONNECTION => self.serve(token - FIRST_CONNECTION),
-                    token => self.accept(token)?,
+                    Token(token) => self.accept(token - FIRST_LISTENER)?,
                 }
             }
             self.obey()?;
@@ -164,11 +159,11 @@
 
     fn vanish(&mut self, zone: ZoneId) -> io::Result<()> {
         let zones = self.fleet.setup().zones;
-        for listener in self.listeners.iter_mut().filter(|listener| listener.zone == zone) {
+        for listener in self.listeners.iter_mut().filter(|listener| listener.zone.zone == zone) {
             if let Some(mut handle) = listener.handle.take() {
                 self.poll.registry().deregister(&mut handle)?;
             }
-            listener.socket.refuse()?;
+            listener.zone.socket.refuse()?;
         }
         self.fleet.vanish(zone);
         for place in self.connections.places(|found| found.worker.zone(zones) == zone) {
@@ -182,7 +177,7 @@
     fn bring_back(&mut self, zone: ZoneId) -> io::Result<()> {
         self.fleet.bring_back(zone);
         for place in 0..self.listeners.len() {
-            if self.listeners.get(place).is_some_and(|listener| listener.zone == zone) {
+            if self.listeners.get(place).is_some_and(|listener| listener.zone.zone == zone) {
                 self.take_calls(place)?;
             }
         }
@@ -211,22 +206,20 @@
 
     /// A listener takes calls from now on.
     fn take_calls(&mut self, place: usize) -> io::Result<()> {
-        let zones = self.fleet.setup().zones;
         let Some(listener) = self.listeners.get_mut(place) else { return Ok(()) };
-        listener.socket.listen()?;
-        let mut handle = listener.socket.handle()?;
-        let token = listener_token(listener.placer, listener.zone, zones);
+        listener.zone.socket.listen()?;
+        let mut handle = listener.zone.socket.handle()?;
+        let token = Token(FIRST_LISTENER + place);
         self.poll.registry().register(&mut handle, token, Interest::READABLE)?;
         listener.handle = Some(handle);
         Ok(())
     }
 
-    fn accept(&mut self, token: Token) -> io::Result<()> {
-        loop {
-            let place = token.0.saturating_sub(FIRST_LISTENER.0);
+    fn accept(&mut self, place: usize) -> io::Result<()> {
+        for _ in 0..ACCEPTS {
             let Some(listener) = self.listeners.get(place) else { return Ok(()) };
             let Some(handle) = &listener.handle else { return Ok(()) };
-            let (placer, zone) = (listener.placer, listener.zone);
+            let (placer, zone) = (listener.zone.placer, listener.zone.zone);
             match handle.accept() {
                 Ok((stream, _)) => self.welcome(stream, placer, zone)?,
                 Err(error) if error.kind() == ErrorKind::WouldBlock => return Ok(()),
@@ -234,11 +227,14 @@
                     if matches!(error.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted) => {}
                 Err(_) => {
                     // No descriptor is left. What waits makes no further event, so that it is looked at again.
-                    self.timers.add(Instant::now() + ACCEPT_PAUSE, Due::Accept(token));
+                    self.timers.add(Instant::now() + ACCEPT_PAUSE, Due::Accept(place));
                     return Ok(());
                 }
             }
         }
+        // More may wait, and makes no further event; others have their turn first.
+        self.timers.add(Instant::now(), Due::Accept(place));
+        Ok(())
     }
 
     /// Takes a call that is for a worker of this zone; any other is dropped.
@@ -375,7 +371,7 @@
             match due {
                 Due::Step(Step::Answer, id, on) => self.answer(at, id, on),
                 Due::Step(Step::End, id, on) => self.end(id, on),
-                Due::Accept(token) => self.accept(token)?,
+                Due::Accept(place) => self.accept(place)?,
             }
         }
         Ok(())
