Scale runs tell how busy the machine was, and results come back from JSON unchanged

Need: placers that wait for processors do other than they would alone; such a run must not pass for a measurement.

--- a/crates/scale/src/feeds/journal.rs
+++ b/crates/scale/src/feeds/journal.rs
@@ -2,6 +2,7 @@
 
 use super::Room;
 use crate::identity::{WorkerId, ZoneId};
+use crate::settings::FeedRule;
 use crate::traffic::FeedCounts;
 use crate::wire::feed::{self, Entry, ListedWorker};
 
@@ -136,18 +137,14 @@
         }
     }
 
-    /// Tells all changes, each in an event of its own.
-    pub fn tell_each(&mut self, workers: &ListedWorkers, lines: &mut Lines) {
-        for worker in std::mem::take(&mut self.stale) {
-            self.event(workers, &[worker], false, lines);
-        }
-        self.clear();
-    }
-
-    /// Tells all changes, in as few events as may be.
-    pub fn tell_gathered(&mut self, workers: &ListedWorkers, lines: &mut Lines) {
+    /// Tells all changes: each in an event of its own, or in as few events as may be.
+    pub fn tell(&mut self, rule: FeedRule, workers: &ListedWorkers, lines: &mut Lines) {
+        let in_one = match rule {
+            FeedRule::EachChange => 1,
+            FeedRule::Gathered => MOST_ENTRIES,
+        };
         let stale = std::mem::take(&mut self.stale);
-        stale.chunks(MOST_ENTRIES).for_each(|part| self.event(workers, part, false, lines));
+        stale.chunks(in_one).for_each(|part| self.event(workers, part, false, lines));
         self.clear();
     }
 
--- a/crates/scale/src/feeds/thread.rs
+++ b/crates/scale/src/feeds/thread.rs
@@ -244,7 +244,7 @@
         feed.subscribed = true;
         feed.journal.subscribe(number, &self.workers);
         let mut lines = Lines::default();
-        feed.journal.tell_gathered(&self.workers, &mut lines);
+        feed.journal.tell(self.rule, &self.workers, &mut lines);
         feed.journal.tell_number(&mut lines);
         feed.send(&lines);
     }
@@ -288,10 +288,7 @@
         let rule = self.rule;
         for feed in self.feeds.iter_mut().filter(|feed| feed.journal.is_behind() && feed.takes_more()) {
             let mut lines = Lines::default();
-            match rule {
-                FeedRule::EachChange => feed.journal.tell_each(&self.workers, &mut lines),
-                FeedRule::Gathered => feed.journal.tell_gathered(&self.workers, &mut lines),
-            }
+            feed.journal.tell(rule, &self.workers, &mut lines);
             feed.send(&lines);
         }
     }
--- a/crates/scale/src/results.rs
+++ b/crates/scale/src/results.rs
@@ -22,6 +22,8 @@
     pub duration_s: f64,
     /// Processes of the run: its own and the placers'.
     pub processes: usize,
+    /// The part of the machine's processors that was busy over the measured time, whoever used them.
+    pub machine_busy: f64,
     /// Memory of the run.
     pub memory: MemoryTotals,
     /// All tasks.
--- a/crates/scale/src/results/table.rs
+++ b/crates/scale/src/results/table.rs
@@ -34,7 +34,8 @@
     let mib = |kb: u64| kb as f64 / 1024.0;
     writeln!(
         out,
-        "{} processes, {:.0} MiB at the most; hollow peers {:.0} MiB",
+        "machine {:.0} % busy; {} processes, {:.0} MiB at the most; hollow peers {:.0} MiB",
+        100.0 * result.machine_busy,
         result.processes,
         mib(memory.all_peak_kb),
         mib(memory.own_peak_kb)
--- a/crates/scale/src/run.rs
+++ b/crates/scale/src/run.rs
@@ -7,6 +7,7 @@
 //! Every step has its time, so that a run always ends by itself; whatever happens, what it has started ends
 //! with it.
 
+mod machine;
 mod meter;
 mod schedule;
 mod stage;
@@ -234,8 +235,9 @@
 fn finish(settings: &Settings, stage: Stage, meter: Meter, kills: &[Kill]) -> Result<RunResult, RunError> {
     let ended = stage.stop()?;
     let fleet = fleet_totals(settings, &ended.clients, &ended.workers, kills);
-    let reason = late_reason(settings, &fleet);
     let (memory, processes) = (meter.memory(), 1 + usize::from(settings.placers));
+    let machine_busy = meter.machine_busy();
+    let reason = late_reason(settings, &fleet).or_else(|| full_reason(settings, machine_busy));
     Ok(RunResult {
         settings: settings.clone(),
         usable: reason.is_none(),
@@ -243,6 +245,7 @@
         duration_s: settings.duration.as_secs_f64(),
         processes,
         memory,
+        machine_busy,
         fleet,
         placers: meter.finish(ended.ready),
     })
@@ -281,3 +284,16 @@
         format!("the hollow {who} themselves were late: p99 {p99_ms:.1} ms, over {limit}")
     })
 }
+
+/// Why a full machine makes a run of no use, if it was full.
+fn full_reason(settings: &Settings, busy: f64) -> Option<String> {
+    let limit = settings.busy_limit;
+    let percent = |part: f64| 100.0 * part;
+    (busy > limit).then(|| {
+        format!(
+            "the machine was full: {:.0} % of its processors busy, over {:.0} %",
+            percent(busy),
+            percent(limit)
+        )
+    })
+}
--- a/crates/scale/src/run/meter.rs
+++ b/crates/scale/src/run/meter.rs
@@ -1,5 +1,7 @@
 //! A row for each placer and second: what it used, and what went to and from it.
 
+use super::LOOK;
+use super::machine::MachineTime;
 use super::stage::Stage;
 use crate::identity::PlacerId;
 use crate::process_sample::{ProcessSample, Sampler};
@@ -29,6 +31,8 @@
     last: Instant,
     second: u32,
     memory: MemoryTotals,
+    /// The machine's time at the start and at the end of the rows that count.
+    machine: Option<(MachineTime, MachineTime)>,
 }
 
 impl Meter {
@@ -49,12 +53,14 @@
             last: Instant::now(),
             second: 0,
             memory: MemoryTotals::default(),
+            machine: None,
         }
     }
 
     /// The first row begins.
     pub fn begin(&mut self, stage: &Stage, sampler: &mut dyn Sampler) {
         self.last = Instant::now();
+        self.begin_measured();
         for ((seen, counters), process) in
             self.placers.iter_mut().zip(&self.counters).zip(stage.process_ids())
         {
@@ -67,8 +73,11 @@
     pub fn row(&mut self, stage: &Stage, sampler: &mut dyn Sampler) {
         let start = std::mem::replace(&mut self.last, Instant::now());
         let length = self.last.saturating_duration_since(start);
-        // Rows never reach over the start of the measured time, but for the time of a look.
-        let measured = start + Duration::from_millis(5) >= self.measured_from;
+        let measured = counts(start, self.measured_from);
+        match &mut self.machine {
+            Some((_, end)) if measured => *end = MachineTime::now(),
+            _ => {}
+        }
         let mut all_kb = 0;
         for ((seen, counters), process) in
             self.placers.iter_mut().zip(&self.counters).zip(stage.process_ids())
@@ -86,6 +95,20 @@
             self.memory.all_peak_kb = self.memory.all_peak_kb.max(all_kb + own.pss_kb);
         }
         self.second += 1;
+        self.begin_measured();
+    }
+
+    /// The rows that count begin, if this is their time and they have not begun.
+    fn begin_measured(&mut self) {
+        if self.machine.is_none() && counts(self.last, self.measured_from) {
+            let now = MachineTime::now();
+            self.machine = Some((now, now));
+        }
+    }
+
+    /// The part of the machine's processors that was busy while the rows counted.
+    pub fn machine_busy(&self) -> f64 {
+        self.machine.map_or(0.0, |(start, end)| end.busy_since(start))
     }
 
     /// Memory at its most.
@@ -108,6 +131,12 @@
     }
 }
 
+/// Whether a row that begins at this time counts. None reaches over the start of the measured time, but for
+/// the time of a look.
+fn counts(start: Instant, measured_from: Instant) -> bool {
+    start + LOOK >= measured_from
+}
+
 /// A process's figures; none where it does not run.
 fn sampled(process: Option<u32>, sampler: &mut dyn Sampler) -> (Option<u32>, ProcessSample) {
     // A process that ends just now has none.
--- a/crates/scale/src/settings.rs
+++ b/crates/scale/src/settings.rs
@@ -112,9 +112,11 @@
     pub task_cores: f64,
     /// Memory that a task asks for.
     pub task_memory: f64,
-    /// Over this at the 99th percentile of the generator's own lateness, the run is of no use.
+    /// Over this at the 99th percentile of the hollow peers' own lateness, the run is of no use.
     #[serde(with = "humantime_serde")]
     pub lateness_limit: Duration,
+    /// Over this part of the machine's processors busy, the run is of no use.
+    pub busy_limit: f64,
     /// How the control feed tells changes.
     pub feed: FeedRule,
     /// The period of `gathered`.
@@ -161,6 +163,7 @@
             task_cores: 1.0,
             task_memory: 2.0,
             lateness_limit: Duration::from_millis(50),
+            busy_limit: 0.9,
             feed: FeedRule::Gathered,
             feed_period: Duration::from_millis(200),
             whole_list_every: Duration::ZERO,
--- a/crates/scale/src/settings/check.rs
+++ b/crates/scale/src/settings/check.rs
@@ -42,6 +42,7 @@
         within("rate", self.rate, 0.0..=100_000.0)?;
         within("urgent-share", self.urgent_share, 0.0..=1.0)?;
         within("once-share", self.once_share, 0.0..=1.0)?;
+        within("busy-limit", self.busy_limit, 0.0..=1.0)?;
         within("events", self.events, 0.0..=100_000.0)?;
         within("placer-memory-mb", self.placer_memory_mb, 8..=65_536)?;
         within("placer-sockets", self.placer_sockets, FEWEST_SOCKETS..=1_048_576)?;
--- a/crates/scale/src/settings/flags.rs
+++ b/crates/scale/src/settings/flags.rs
@@ -117,6 +117,7 @@
         "worker-memory" => number(&mut settings.worker_memory, name, text),
         "task-cores" => number(&mut settings.task_cores, name, text),
         "task-memory" => number(&mut settings.task_memory, name, text),
+        "busy-limit" => number(&mut settings.busy_limit, name, text),
         "events" => number(&mut settings.events, name, text),
         "life" => span(&mut settings.life, name, text),
         "start-time" => span(&mut settings.start_time, name, text),
--- a/crates/scale/tests/small_run.rs
+++ b/crates/scale/tests/small_run.rs
@@ -2,8 +2,11 @@
 
 use scale::plain_sample::PlainSampler;
 use scale::results::PlacerResult;
+use scale::settings::{Connect, FeedRule};
+use scale::traffic::FeedCounts;
 use scale::{RunResult, Settings, Unwatched, run};
 use std::path::{Path, PathBuf};
+use std::time::Duration;
 
 /// The placer's program: `ANISEHEAD_BIN`, or the one beside the test that runs.
 fn program() -> PathBuf {
@@ -59,11 +62,11 @@
     assert_eq!(fleet.garbage_dropped, fleet.garbage_sent);
 
     assert_eq!(result.processes, 4);
-    result.placers.iter().for_each(adds_up);
+    result.placers.iter().for_each(|placer| adds_up(placer, 14));
 }
 
 /// Control and service together are all that went through the sockets, and rows are within it.
-fn adds_up(placer: &PlacerResult) {
+fn adds_up(placer: &PlacerResult, seconds: usize) {
     let traffic = &placer.all_traffic;
     let total = traffic.total();
     assert_eq!(total.to_placer.bytes, traffic.raw_to_placer, "{}", placer.name);
@@ -71,30 +74,62 @@
     let (control, service) = (traffic.control.total(), traffic.service.total());
     assert!(control.to_placer.bytes > 0 && service.to_placer.bytes > 0, "{}", placer.name);
     assert!(traffic.control.test.from_placer.messages > 0 && traffic.control.feed.to_placer.messages > 0);
-    assert_eq!(placer.seconds.iter().filter(|row| row.measured).count(), 14);
+    assert_eq!(placer.seconds.iter().filter(|row| row.measured).count(), seconds);
     let rows: u64 = placer.seconds.iter().map(|row| row.traffic.total().to_placer.bytes).sum();
     assert!(rows <= total.to_placer.bytes, "{}", placer.name);
     assert!(placer.totals.cpu_share > 0.0 && placer.totals.rss_peak_kb > 0, "{}", placer.name);
     assert!(placer.totals.feed.entries_per_s > 0.0);
 }
 
+/// A run of two seconds.
+fn short() -> Settings {
+    Settings {
+        workers: 40,
+        placers: 2,
+        zones: 4,
+        regions: 2,
+        standing: 60,
+        rate: 20.0,
+        warm_up: Duration::ZERO,
+        duration: Duration::from_secs(2),
+        lateness_limit: Duration::from_secs(60),
+        busy_limit: 1.0,
+        ..Settings::default()
+    }
+}
+
 #[test]
-fn a_result_survives_the_way_through_json() {
+fn each_change_is_told_alone_whole_lists_and_extra_events_come_and_all_workers_are_called() {
     let settings = Settings {
-        workers: 20,
-        placers: 1,
-        zones: 2,
-        standing: 10,
-        rate: 5.0,
-        warm_up: std::time::Duration::ZERO,
-        duration: std::time::Duration::from_secs(1),
-        lateness_limit: std::time::Duration::from_secs(60),
-        ..Settings::default()
+        feed: FeedRule::EachChange,
+        connect: Connect::All,
+        whole_list_every: Duration::from_millis(500),
+        events: 50.0,
+        instances: 30,
+        ..short()
     };
     let result = run_of(&settings);
+    assert_eq!(result.fleet.rules_broken(), 0, "{:?}", result.fleet);
+    assert_eq!(result.fleet.started + result.fleet.refused, result.fleet.due);
+    for placer in &result.placers {
+        adds_up(placer, 2);
+        let mut told = FeedCounts::default();
+        placer.seconds.iter().for_each(|row| told += row.feed);
+        assert!(told.whole_events > 0 && told.number_lines > 0, "{told:?}");
+        // Each event of a change holds one entry, each whole list all workers.
+        assert_eq!(told.entries_up, told.change_events + 40 * told.whole_events, "{told:?}");
+        assert_eq!(told.entries_removed, 0);
+        let called = placer.all_traffic.control.idle_worker.connections;
+        assert!(called + placer.all_traffic.service.worker.connections >= 40, "{:?}", placer.all_traffic);
+    }
+}
+
+#[test]
+fn a_result_survives_the_way_through_json() {
+    let settings = short();
+    let result = run_of(&settings);
     let json = serde_json::to_string(&result).expect("JSON");
     let read: RunResult = serde_json::from_str(&json).expect("a result");
-    assert_eq!(read.fleet, result.fleet);
-    assert_eq!(read.settings, settings);
-    assert_eq!(read.placers.len(), 1);
+    assert_eq!(read, result);
+    assert_eq!((&read.settings, read.placers.len()), (&settings, 2));
 }
