Test that hollow workers vanish, keep their port and come back

Need: a zone's loss rests on a socket that refuses calls and listens again. Change: three tests of the listener.

--- a/crates/scale/src/listener.rs
+++ b/crates/scale/src/listener.rs
@@ -112,3 +112,6 @@
     let (_, port) = on_free_port(|port| bind(&socket()?, SocketAddr::from((Ipv4Addr::LOCALHOST, port))))?;
     Ok(SocketAddr::from((Ipv4Addr::LOCALHOST, port)))
 }
+
+#[cfg(test)]
+mod tests;
