--- /dev/null
+++ b/crates/scale/src/budget.rs
@@ -0,0 +1,246 @@
+//! What a run needs of the machine, reckoned before it starts, and the refusal of one that needs too much.
+//!
+//! The costs are allowances, set high on purpose: a run that is refused can be made smaller, whereas one that
+//! drives the machine out of memory or descriptors measures nothing and disturbs all that runs beside it.
+
+use std::fmt;
+use std::io;
+
+use procfs::{Current, Meminfo};
+use rustix::process::{Resource, getrlimit};
+use thiserror::Error;
+
+#[cfg(test)]
+mod tests;
+
+/// The most processes of a run, this one included.
+pub const MOST_PROCESSES: u64 = 300;
+
+/// The part of the machine's memory that a run may need is one over this. The rest is for the system, its
+/// cache, and what the allowances miss.
+pub const MEMORY_DIVISOR: u64 = 2;
+
+const KB_PER_MB: u64 = 1024;
+const KB_PER_GIB: f64 = 1024.0 * 1024.0;
+
+/// Memory of this process before it plays anything.
+const MEMORY_KB_HERE: u64 = 64 * KB_PER_MB;
+
+/// Memory of a placer that knows no worker: its program, buffers and allocator.
+const MEMORY_KB_PLACER: u64 = 32 * KB_PER_MB;
+
+/// Memory of a hollow worker here. All of them share one listening socket.
+const MEMORY_KB_WORKER: u64 = 4;
+
+/// Memory of a worker in the list of one placer.
+const MEMORY_KB_LISTED_WORKER: u64 = 4;
+
+/// Memory of a standing task, in its placer, its worker and its client together.
+const MEMORY_KB_STANDING: u64 = 8;
+
+/// Memory of a connection: the buffers of the programs at both ends and of the system's two sockets.
+const MEMORY_KB_CONNECTION: u64 = 64;
+
+/// Descriptors of this process that are not of a connection or of a placer: standard streams, the workers'
+/// listening socket, event queues, its result files, and room for samples of `/proc`.
+const DESCRIPTORS_HERE: u64 = 64;
+
+/// Descriptors of this process for each placer: its two output pipes, its feed's listening socket and
+/// connection, and the calls that ask how it does.
+const DESCRIPTORS_HERE_PER_PLACER: u64 = 8;
+
+/// Descriptors of a placer that are not a worker's or a client's: standard streams, the event queue,
+/// listening sockets, its feed, signals.
+const DESCRIPTORS_PLACER: u64 = 32;
+
+/// The plain numbers of a run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RunSize {
+    /// Hollow workers, all played by this process.
+    pub workers: u64,
+    /// Placers, a process each.
+    pub placers: u64,
+    /// Tasks that stand at a time, over all placers.
+    pub standing: u64,
+    /// Connections of clients, over all placers.
+    pub connections: u64,
+    /// The most connections that a placer holds, by its configuration.
+    pub placer_sockets: u64,
+}
+
+/// What a run needs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Need {
+    /// Memory of all its processes, and of the system for their connections.
+    pub memory_kb: u64,
+    /// Descriptors of this process.
+    pub descriptors_here: u64,
+    /// Descriptors of each placer.
+    pub descriptors_placer: u64,
+    /// Processes, this one included.
+    pub processes: u64,
+}
+
+impl Need {
+    /// What a run of this size needs. Each placer is taken to hold a connection to every worker, as far as its
+    /// configuration lets it.
+    pub fn of(size: &RunSize) -> Need {
+        let worker_connections = size.placers.saturating_mul(size.workers.min(size.placer_sockets));
+        let connections = worker_connections.saturating_add(size.connections);
+        Need {
+            memory_kb: memory_kb(size, connections),
+            descriptors_here: descriptors_here(size, connections),
+            descriptors_placer: descriptors_placer(size),
+            processes: size.placers.saturating_add(1),
+        }
+    }
+}
+
+fn memory_kb(size: &RunSize, connections: u64) -> u64 {
+    let listed_workers = size.placers.saturating_mul(size.workers);
+    sum(&[
+        MEMORY_KB_HERE,
+        size.placers.saturating_mul(MEMORY_KB_PLACER),
+        size.workers.saturating_mul(MEMORY_KB_WORKER),
+        listed_workers.saturating_mul(MEMORY_KB_LISTED_WORKER),
+        size.standing.saturating_mul(MEMORY_KB_STANDING),
+        connections.saturating_mul(MEMORY_KB_CONNECTION),
+    ])
+}
+
+/// This process holds one end of every connection.
+fn descriptors_here(size: &RunSize, connections: u64) -> u64 {
+    let for_placers = size.placers.saturating_mul(DESCRIPTORS_HERE_PER_PLACER);
+    sum(&[DESCRIPTORS_HERE, for_placers, connections])
+}
+
+/// A placer holds its connections to workers and its clients'; all clients may come to one.
+fn descriptors_placer(size: &RunSize) -> u64 {
+    let connections = size.workers.saturating_add(size.connections);
+    DESCRIPTORS_PLACER.saturating_add(connections.min(size.placer_sockets))
+}
+
+fn sum(terms: &[u64]) -> u64 {
+    terms.iter().fold(0, |total, term| total.saturating_add(*term))
+}
+
+/// What the machine has.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Machine {
+    /// Memory of the machine, used or not.
+    pub memory_kb: u64,
+    /// Soft limit on the descriptors of this process, which its children inherit; none where unlimited.
+    pub descriptors: Option<u64>,
+}
+
+impl Machine {
+    /// Reads `/proc/meminfo` and the limit of this process.
+    pub fn read() -> io::Result<Machine> {
+        let memory = Meminfo::current()?;
+        let descriptors = getrlimit(Resource::Nofile).current;
+        Ok(Machine { memory_kb: memory.mem_total / 1024, descriptors })
+    }
+}
+
+/// One thing of which a run needs too much.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+pub enum Excess {
+    /// Memory, against half of the machine's.
+    #[error(
+        "needs {} of memory, half of the machine is {}: fewer workers, placers or standing tasks",
+        Gib(*.needed_kb), Gib(*.allowed_kb)
+    )]
+    Memory {
+        /// What the run needs.
+        needed_kb: u64,
+        /// What it may need.
+        allowed_kb: u64,
+    },
+    /// Descriptors of this process.
+    #[error(
+        "needs {needed} descriptors in this process, its limit (ulimit -n) is {allowed}: fewer workers, \
+         placers or connections, or a higher limit"
+    )]
+    DescriptorsHere {
+        /// What the run needs.
+        needed: u64,
+        /// The soft limit.
+        allowed: u64,
+    },
+    /// Descriptors of a placer.
+    #[error(
+        "needs {needed} descriptors in each placer, its limit (ulimit -n) is {allowed}: fewer workers or \
+         connections, or a higher limit"
+    )]
+    DescriptorsPlacer {
+        /// What a placer needs.
+        needed: u64,
+        /// The soft limit.
+        allowed: u64,
+    },
+    /// Processes.
+    #[error("needs {needed} processes, a run may have {MOST_PROCESSES}: fewer placers")]
+    Processes {
+        /// What the run needs.
+        needed: u64,
+    },
+}
+
+/// Why a run is refused: everything of which it needs too much, a line each.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+pub struct BudgetError {
+    /// In the order of [`Need`]'s fields, at least one.
+    pub excesses: Vec<Excess>,
+}
+
+impl fmt::Display for BudgetError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let lines: Vec<String> = self.excesses.iter().map(Excess::to_string).collect();
+        f.write_str(&lines.join("\n"))
+    }
+}
+
+/// Refuses a run that needs over half of the machine's memory, more descriptors than a process may have, or
+/// more than [`MOST_PROCESSES`] processes.
+pub fn check(need: &Need, machine: &Machine) -> Result<(), BudgetError> {
+    let found = [
+        memory_excess(need, machine),
+        descriptors_here_excess(need, machine),
+        descriptors_placer_excess(need, machine),
+        processes_excess(need),
+    ];
+    let excesses: Vec<Excess> = found.into_iter().flatten().collect();
+    if excesses.is_empty() { Ok(()) } else { Err(BudgetError { excesses }) }
+}
+
+fn memory_excess(need: &Need, machine: &Machine) -> Option<Excess> {
+    let allowed_kb = machine.memory_kb / MEMORY_DIVISOR;
+    let needed_kb = need.memory_kb;
+    (needed_kb > allowed_kb).then_some(Excess::Memory { needed_kb, allowed_kb })
+}
+
+fn descriptors_here_excess(need: &Need, machine: &Machine) -> Option<Excess> {
+    let allowed = machine.descriptors?;
+    let needed = need.descriptors_here;
+    (needed > allowed).then_some(Excess::DescriptorsHere { needed, allowed })
+}
+
+fn descriptors_placer_excess(need: &Need, machine: &Machine) -> Option<Excess> {
+    let allowed = machine.descriptors?;
+    let needed = need.descriptors_placer;
+    (needed > allowed).then_some(Excess::DescriptorsPlacer { needed, allowed })
+}
+
+fn processes_excess(need: &Need) -> Option<Excess> {
+    let needed = need.processes;
+    (needed > MOST_PROCESSES).then_some(Excess::Processes { needed })
+}
+
+/// Memory in kilobytes, shown in GiB.
+struct Gib(u64);
+
+impl fmt::Display for Gib {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:.1} GiB", self.0 as f64 / KB_PER_GIB)
+    }
+}
--- /dev/null
+++ b/crates/scale/src/sweep/report.rs
@@ -0,0 +1,147 @@
+//! What a sweep found, as data.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use serde::{Deserialize, Serialize};
+
+use super::{Axis, AxisPlan, Base, Metric, Outcome};
+use crate::fit::Fit;
+
+/// What a sweep found.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct SweepReport {
+    /// The point at which the other axes stayed.
+    pub base: Base,
+    /// Runs that were asked for at each value.
+    pub repeats: u32,
+    /// The axes, in the order in which they were swept.
+    pub axes: Vec<AxisReport>,
+}
+
+/// What was found along one axis.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct AxisReport {
+    /// What was varied.
+    pub axis: Axis,
+    /// Its values.
+    pub values: Vec<f64>,
+    /// Each figure that at least one run had.
+    pub metrics: BTreeMap<Metric, MetricReport>,
+    /// Runs of which an attempt was unusable.
+    pub unusable: Vec<UnusableRun>,
+}
+
+/// One figure along one axis.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct MetricReport {
+    /// Every usable run that had the figure.
+    pub points: Vec<Point>,
+    /// What they follow.
+    pub verdict: Verdict,
+}
+
+/// A figure of one run.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct Point {
+    /// The axis's value.
+    pub value: f64,
+    /// The repeat, from 0.
+    pub repeat: u32,
+    /// The figure.
+    pub measured: f64,
+}
+
+/// The fit of a figure, or why there is none.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Verdict {
+    /// The line, and the shape of the points.
+    Fitted(Fit),
+    /// Too few usable runs had the figure.
+    NotFitted {
+        /// What was missing.
+        reason: String,
+    },
+}
+
+/// A run of which an attempt was unusable.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct UnusableRun {
+    /// The axis's value.
+    pub value: f64,
+    /// The repeat, from 0.
+    pub repeat: u32,
+    /// Why, one reason for each unusable attempt.
+    pub reasons: Vec<String>,
+    /// Whether a further attempt could be used. If not, the run is left out of all fits.
+    pub replaced: bool,
+}
+
+impl SweepReport {
+    /// As JSON for programs, in lines for people.
+    pub fn to_json(&self) -> serde_json::Result<String> {
+        serde_json::to_string_pretty(self)
+    }
+
+    /// From what [`SweepReport::to_json`] gave.
+    pub fn from_json(text: &str) -> serde_json::Result<SweepReport> {
+        serde_json::from_str(text)
+    }
+}
+
+impl AxisReport {
+    /// Gathers and fits the outcomes of an axis's runs.
+    pub(super) fn of(plan: &AxisPlan, outcomes: &[Outcome]) -> AxisReport {
+        let metrics: BTreeSet<Metric> =
+            outcomes.iter().flat_map(|outcome| &outcome.figures).flat_map(BTreeMap::keys).copied().collect();
+        AxisReport {
+            axis: plan.axis,
+            values: plan.values.clone(),
+            metrics: metrics.into_iter().map(|metric| (metric, MetricReport::of(metric, outcomes))).collect(),
+            unusable: outcomes.iter().filter_map(UnusableRun::of).collect(),
+        }
+    }
+}
+
+impl MetricReport {
+    fn of(metric: Metric, outcomes: &[Outcome]) -> MetricReport {
+        let points: Vec<Point> = outcomes.iter().filter_map(|outcome| Point::of(metric, outcome)).collect();
+        let pairs: Vec<(f64, f64)> = points.iter().map(|point| (point.value, point.measured)).collect();
+        let verdict = match Fit::line(&pairs) {
+            Ok(fit) => Verdict::Fitted(fit),
+            Err(error) => Verdict::NotFitted { reason: error.to_string() },
+        };
+        MetricReport { points, verdict }
+    }
+
+    /// The median of the repeats at a value; none where no usable run had the figure.
+    pub fn median(&self, value: f64) -> Option<f64> {
+        let at_value = self.points.iter().filter(|point| point.value == value);
+        let mut repeats: Vec<f64> = at_value.map(|point| point.measured).collect();
+        repeats.sort_by(f64::total_cmp);
+        let upper = *repeats.get(repeats.len() / 2)?;
+        let lower = *repeats.get(repeats.len().checked_sub(1)? / 2)?;
+        Some(f64::midpoint(lower, upper))
+    }
+}
+
+impl Point {
+    fn of(metric: Metric, outcome: &Outcome) -> Option<Point> {
+        let measured = *outcome.figures.as_ref()?.get(&metric)?;
+        Some(Point { value: outcome.run.value, repeat: outcome.run.repeat, measured })
+    }
+}
+
+impl UnusableRun {
+    fn of(outcome: &Outcome) -> Option<UnusableRun> {
+        if outcome.reasons.is_empty() {
+            return None;
+        }
+        Some(UnusableRun {
+            value: outcome.run.value,
+            repeat: outcome.run.repeat,
+            reasons: outcome.reasons.clone(),
+            replaced: outcome.figures.is_some(),
+        })
+    }
+}
--- /dev/null
+++ b/crates/scale/src/sweep/table.rs
@@ -0,0 +1,101 @@
+//! What a sweep found, as text tables.
+
+use std::fmt;
+
+use comfy_table::{CellAlignment, Table, presets};
+
+use super::{AxisReport, Metric, MetricReport, SweepReport, UnusableRun, Verdict};
+use crate::fit::Fit;
+
+/// Stands where there is no figure.
+const NONE: &str = "-";
+
+/// Digits that a figure is shown with.
+const SIGNIFICANT_DIGITS: i32 = 4;
+
+/// Columns before those of the values: the figure and its unit.
+const LABEL_COLUMNS: usize = 2;
+
+impl fmt::Display for SweepReport {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let base = &self.base;
+        writeln!(
+            f,
+            "base: {} ({} workers, {} standing, {} starts/s, {} list events/s), {} repeats",
+            base.description, base.workers, base.standing, base.rate, base.events, self.repeats
+        )?;
+        for axis in &self.axes {
+            writeln!(f, "\n{axis}")?;
+        }
+        Ok(())
+    }
+}
+
+impl fmt::Display for AxisReport {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(f, "{}: medians over {}, then the line through all repeats", self.axis, self.axis.unit())?;
+        write!(f, "{}", table(self).trim_fmt())?;
+        for run in &self.unusable {
+            write!(f, "\n{run}")?;
+        }
+        Ok(())
+    }
+}
+
+impl fmt::Display for UnusableRun {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let fate = if self.replaced { "made again" } else { "left out" };
+        let repeat = self.repeat + 1;
+        write!(f, "unusable at {}, repeat {repeat}: {}: {fate}", self.value, self.reasons.join("; "))
+    }
+}
+
+/// One row for each figure.
+fn table(axis: &AxisReport) -> Table {
+    let mut table = Table::new();
+    table.load_preset(presets::NOTHING).set_header(header(axis));
+    for (metric, report) in &axis.metrics {
+        table.add_row(row(*metric, report, &axis.values));
+    }
+    for column in table.column_iter_mut().skip(LABEL_COLUMNS) {
+        column.set_cell_alignment(CellAlignment::Right);
+    }
+    table
+}
+
+fn header(axis: &AxisReport) -> Vec<String> {
+    let labels = ["figure", "unit"].map(String::from);
+    let values = axis.values.iter().map(f64::to_string);
+    let verdict = ["slope", "intercept", "off at most", "exponent", "shape"].map(String::from);
+    labels.into_iter().chain(values).chain(verdict).collect()
+}
+
+fn row(metric: Metric, report: &MetricReport, values: &[f64]) -> Vec<String> {
+    let labels = [metric.to_string(), metric.unit().to_string()];
+    let medians = values.iter().map(|value| report.median(*value).map_or(NONE.to_string(), number));
+    let verdict = match &report.verdict {
+        Verdict::Fitted(fit) => fitted(fit),
+        Verdict::NotFitted { reason } => [NONE, NONE, NONE, NONE, reason].map(String::from),
+    };
+    labels.into_iter().chain(medians).chain(verdict).collect()
+}
+
+fn fitted(fit: &Fit) -> [String; 5] {
+    let off = fit.largest_residual_part.map_or(number(fit.largest_residual), percent);
+    let exponent = fit.exponents.map_or(NONE.to_string(), |exponents| format!("{:.2}", exponents.best));
+    [number(fit.slope), number(fit.intercept), off, exponent, fit.shape.to_string()]
+}
+
+fn percent(part: f64) -> String {
+    format!("{:.1} %", part * 100.0)
+}
+
+/// Rounded to [`SIGNIFICANT_DIGITS`], without cutting whole digits.
+fn number(figure: f64) -> String {
+    if figure == 0.0 {
+        return "0".to_string();
+    }
+    let whole_digits = figure.abs().log10().floor() as i32 + 1;
+    let decimals = usize::try_from(SIGNIFICANT_DIGITS - whole_digits).unwrap_or(0);
+    format!("{figure:.decimals$}")
+}
