--- a/crates/scale/src/budget.rs
+++ b/crates/scale/src/budget.rs
@@ -10,6 +10,8 @@
 use rustix::process::{Resource, getrlimit};
 use thiserror::Error;
 
+use crate::sample::io_error;
+
 #[cfg(test)]
 mod tests;
 
@@ -20,6 +22,7 @@
 /// cache, and what the allowances miss.
 pub const MEMORY_DIVISOR: u64 = 2;
 
+const BYTES_PER_KB: u64 = 1024;
 const KB_PER_MB: u64 = 1024;
 const KB_PER_GIB: f64 = 1024.0 * 1024.0;
 
@@ -136,9 +139,9 @@
 impl Machine {
     /// Reads `/proc/meminfo` and the limit of this process.
     pub fn read() -> io::Result<Machine> {
-        let memory = Meminfo::current()?;
+        let memory = Meminfo::current().map_err(io_error)?;
         let descriptors = getrlimit(Resource::Nofile).current;
-        Ok(Machine { memory_kb: memory.mem_total / 1024, descriptors })
+        Ok(Machine { memory_kb: memory.mem_total / BYTES_PER_KB, descriptors })
     }
 }
 
--- a/crates/scale/src/fit.rs
+++ b/crates/scale/src/fit.rs
@@ -12,7 +12,10 @@
 mod tests;
 
 use least_squares::Line;
-pub use shape::{Exponents, Shape};
+pub use shape::{
+    Exponents, FARTHEST_FROM_CURVE, FLAT_NOISE, FLAT_SPREAD, NOISE_ERRORS, STRAIGHT_EXPONENTS, Shape,
+    WIDEST_EXPONENTS,
+};
 
 /// Distinct sizes without which nothing is fitted. A curve has three coefficients (scale, exponent,
 /// offset); a fourth size is the first that can speak against it.
--- a/crates/scale/src/fit/tests.rs
+++ b/crates/scale/src/fit/tests.rs
@@ -1,7 +1,8 @@
 use proptest::prelude::*;
 
-use super::shape::{FLAT_SPREAD, STRAIGHT_EXPONENTS};
-use super::{Fit, FitError, LEAST_SIZES, PROJECTION_TOLERANCE, Shape, compare};
+use super::{
+    FLAT_SPREAD, Fit, FitError, LEAST_SIZES, PROJECTION_TOLERANCE, STRAIGHT_EXPONENTS, Shape, compare,
+};
 
 /// Sizes of a sweep over workers.
 const WORKERS: [f64; 6] = [100.0, 400.0, 1000.0, 2000.0, 4000.0, 7300.0];
--- a/crates/scale/src/sample.rs
+++ b/crates/scale/src/sample.rs
@@ -37,13 +37,13 @@
 impl Sampler for ProcSampler {
     fn sample(&mut self, pid: u32) -> io::Result<ProcessSample> {
         let pid = i32::try_from(pid).map_err(|_| io::Error::from(io::ErrorKind::InvalidInput))?;
-        let process = Process::new(pid)?;
+        let process = Process::new(pid).map_err(io_error)?;
         let cpu = cpu_time(pid)?;
         let memory = memory_map_totals(&process)?;
         let rss_kb = kilobytes(&memory, RSS)?;
         let pss_kb = kilobytes(&memory, PSS)?;
         let peak_kb = peak_kb(&process)?.max(rss_kb);
-        let descriptors = process.fd_count()?;
+        let descriptors = process.fd_count().map_err(io_error)?;
         Ok(ProcessSample { cpu, rss_kb, pss_kb, peak_kb, descriptors })
     }
 }
@@ -56,7 +56,7 @@
 
 /// Totals over all memory maps.
 fn memory_map_totals(process: &Process) -> io::Result<MMapExtension> {
-    let rollup = process.smaps_rollup()?;
+    let rollup = process.smaps_rollup().map_err(io_error)?;
     let total = rollup.memory_map_rollup.into_iter().next();
     total.map(|map| map.extension).ok_or_else(|| missing("smaps_rollup"))
 }
@@ -68,10 +68,23 @@
 
 /// The largest RSS so far. The kernel folds its counters only now and then, so that this can lag behind a
 /// sample of RSS by some pages.
-fn peak_kb(process: &Process) -> Result<u64, ProcError> {
-    Ok(process.status()?.vmhwm.unwrap_or(0))
+fn peak_kb(process: &Process) -> io::Result<u64> {
+    let status = process.status().map_err(io_error)?;
+    Ok(status.vmhwm.unwrap_or(0))
 }
 
 fn missing(what: &str) -> io::Error {
     io::Error::new(io::ErrorKind::NotFound, format!("the kernel states no {what} for the process"))
 }
+
+/// An error of the `procfs` crate as one of the system.
+pub(crate) fn io_error(error: ProcError) -> io::Error {
+    match error {
+        ProcError::NotFound(_) => io::Error::new(io::ErrorKind::NotFound, error),
+        ProcError::PermissionDenied(_) => io::Error::new(io::ErrorKind::PermissionDenied, error),
+        ProcError::Io(source, _) => source,
+        ProcError::Incomplete(_) | ProcError::Other(_) | ProcError::InternalError(_) => {
+            io::Error::other(error)
+        }
+    }
+}
