Reckon a placer's connections to workers as the placer does

Need: a placer may hold three connections to a worker, and keeps a third of its own for clients; the budget knew neither.

--- a/crates/scale/src/budget.rs
+++ b/crates/scale/src/budget.rs
@@ -48,9 +48,16 @@
 /// listening socket, event queues, its result files, and room for samples of `/proc`.
 const DESCRIPTORS_HERE: u64 = 64;
 
-/// Descriptors of this process for each placer: its two output pipes, its feed's listening socket and
-/// connection, and the calls that ask how it does.
-const DESCRIPTORS_HERE_PER_PLACER: u64 = 8;
+/// Descriptors of this process for each placer: its two output pipes, its feed's listening sockets and
+/// connections, a listening socket and its handle in the event loop for each of some zones, and the calls that
+/// ask how it does.
+const DESCRIPTORS_HERE_PER_PLACER: u64 = 32;
+
+/// The most connections that a placer holds to one worker.
+const CONNECTIONS_PER_WORKER: u64 = 3;
+
+/// A placer keeps its connections over this for clients; workers get what is left.
+const CLIENTS_SHARE_DIVISOR: u64 = 3;
 
 /// Descriptors of a placer that are not a worker's or a client's: standard streams, the event queue,
 /// listening sockets, its feed, signals.
@@ -85,10 +92,9 @@
 }
 
 impl Need {
-    /// What a run of this size needs. Each placer is taken to hold a connection to every worker, as far as its
-    /// configuration lets it.
+    /// What a run of this size needs. Each placer is taken to hold all connections to workers that it may.
     pub fn of(size: &RunSize) -> Need {
-        let worker_connections = size.placers.saturating_mul(size.workers.min(size.placer_sockets));
+        let worker_connections = size.placers.saturating_mul(worker_connections(size));
         let connections = worker_connections.saturating_add(size.connections);
         Need {
             memory_kb: memory_kb(size, connections),
@@ -99,6 +105,12 @@
     }
 }
 
+/// Connections of one placer to workers.
+fn worker_connections(size: &RunSize) -> u64 {
+    let allowed = size.placer_sockets - size.placer_sockets / CLIENTS_SHARE_DIVISOR;
+    size.workers.saturating_mul(CONNECTIONS_PER_WORKER).min(allowed)
+}
+
 fn memory_kb(size: &RunSize, connections: u64) -> u64 {
     let listed_workers = size.placers.saturating_mul(size.workers);
     sum(&[
@@ -119,7 +131,7 @@
 
 /// A placer holds its connections to workers and its clients'; all clients may come to one.
 fn descriptors_placer(size: &RunSize) -> u64 {
-    let connections = size.workers.saturating_add(size.connections);
+    let connections = worker_connections(size).saturating_add(size.connections);
     DESCRIPTORS_PLACER.saturating_add(connections.min(size.placer_sockets))
 }
 
--- a/crates/scale/src/budget/tests.rs
+++ b/crates/scale/src/budget/tests.rs
@@ -65,11 +65,11 @@
     let base = RunSize { workers: 10, placers: 2, standing: 100, connections: 4, placer_sockets: 1024 };
     let need = Need::of(&base);
     let more_workers = Need::of(&RunSize { workers: 11, ..base });
-    assert_eq!(more_workers.descriptors_here, need.descriptors_here + base.placers);
-    assert_eq!(more_workers.descriptors_placer, need.descriptors_placer + 1);
+    assert_eq!(more_workers.descriptors_here, need.descriptors_here + 3 * base.placers);
+    assert_eq!(more_workers.descriptors_placer, need.descriptors_placer + 3);
     assert!(more_workers.memory_kb > need.memory_kb);
     let more_placers = Need::of(&RunSize { placers: 3, ..base });
-    assert!(more_placers.descriptors_here >= need.descriptors_here + base.workers);
+    assert!(more_placers.descriptors_here >= need.descriptors_here + 3 * base.workers);
     assert_eq!(more_placers.processes, need.processes + 1);
     assert!(more_placers.memory_kb > need.memory_kb);
     let more_standing = Need::of(&RunSize { standing: 101, ..base });
@@ -87,6 +87,14 @@
     assert_eq!(many.descriptors_here, few.descriptors_here);
 }
 
+#[test]
+fn workers_get_the_connections_that_are_not_promised_to_clients() {
+    let idle = Need::of(&RunSize { placers: 2, placer_sockets: 900, ..NOTHING });
+    let full = Need::of(&RunSize { placers: 2, workers: 7300, placer_sockets: 900, ..NOTHING });
+    assert_eq!(full.descriptors_placer, idle.descriptors_placer + 600);
+    assert_eq!(full.descriptors_here, idle.descriptors_here + 2 * 600);
+}
+
 #[test]
 fn a_run_of_nothing_is_one_process() {
     assert_eq!(Need::of(&NOTHING).processes, 1);
