--- a/crates/scale/src/cli.rs
+++ b/crates/scale/src/cli.rs
@@ -1,7 +1,7 @@
 //! The command line.
 
 use crate::error::RunError;
-use crate::plain_sample::PlainSampler;
+use crate::sample::ProcSampler;
 use crate::results::{self, RunResult};
 use crate::run::{Progress, Watcher, own_descriptors, run};
 use crate::settings::{Settings, SettingsArgs, SettingsError};
@@ -129,7 +129,7 @@
     let settings = checked(&args.settings)?;
     let program = args.program.clone().unwrap_or_else(program_beside);
     let mut watcher = Terminal::new().map_err(Failure::Signals)?;
-    let result = run(&settings, &program, &mut PlainSampler, &mut watcher);
+    let result = run(&settings, &program, &mut ProcSampler, &mut watcher);
     watcher.clear();
     let result = result?;
     print!("{}", results::print(&result));
--- a/crates/scale/src/lib.rs
+++ b/crates/scale/src/lib.rs
@@ -5,22 +5,25 @@
 //! together, carries out faults, audits every task and gives a typed result.
 
 pub mod audit;
+pub mod budget;
 pub mod cli;
 pub mod clients;
 pub mod deployment;
 pub mod error;
 pub mod feeds;
+pub mod fit;
 pub mod identity;
 pub mod listener;
 pub mod mailbox;
 mod peer_thread;
 pub mod placer_process;
-pub mod plain_sample;
 pub mod process_sample;
 pub mod results;
 mod run;
+pub mod sample;
 pub mod settings;
 pub mod socket;
+pub mod sweep;
 pub mod timers;
 pub mod timing;
 pub mod traffic;
--- a/crates/scale/tests/small_run.rs
+++ b/crates/scale/tests/small_run.rs
@@ -1,6 +1,6 @@
 //! A run of the small plan with real placers: counts and rules. No times are judged.
 
-use scale::plain_sample::PlainSampler;
+use scale::sample::ProcSampler;
 use scale::results::PlacerResult;
 use scale::settings::{Connect, FeedRule};
 use scale::traffic::FeedCounts;
@@ -24,7 +24,7 @@
 }
 
 fn run_of(settings: &Settings) -> RunResult {
-    run(settings, &program(), &mut PlainSampler, &mut Unwatched).expect("a result")
+    run(settings, &program(), &mut ProcSampler, &mut Unwatched).expect("a result")
 }
 
 #[test]
