--- a/crates/scale/src/budget.rs
+++ b/crates/scale/src/budget.rs
@@ -11,6 +11,7 @@
 use thiserror::Error;
 
 use crate::sample::io_error;
+use crate::settings::Settings;
 
 #[cfg(test)]
 mod tests;
@@ -91,7 +92,27 @@
     pub processes: u64,
 }
 
+impl RunSize {
+    /// The size of a run of these settings.
+    pub fn of(settings: &Settings) -> RunSize {
+        let placers = u64::from(settings.placers);
+        RunSize {
+            workers: u64::from(settings.workers),
+            placers,
+            standing: u64::from(settings.standing),
+            connections: placers * u64::from(settings.client_connections),
+            placer_sockets: settings.placer_sockets,
+        }
+    }
+}
+
 impl Need {
+    /// What a run of these settings needs. The settings know how many zones listen for each placer, so that this
+    /// process's descriptors are theirs.
+    pub fn of_settings(settings: &Settings) -> Need {
+        Need { descriptors_here: settings.descriptors_needed(), ..Need::of(&RunSize::of(settings)) }
+    }
+
     /// What a run of this size needs. Each placer is taken to hold all connections to workers that it may.
     pub fn of(size: &RunSize) -> Need {
         let worker_connections = size.placers.saturating_mul(worker_connections(size));
--- a/crates/scale/src/budget/tests.rs
+++ b/crates/scale/src/budget/tests.rs
@@ -1,4 +1,5 @@
 use super::{BudgetError, Excess, MOST_PROCESSES, Machine, Need, RunSize, check};
+use crate::settings::Settings;
 
 const GIB_IN_KB: u64 = 1024 * 1024;
 
@@ -115,3 +116,21 @@
     assert!(machine.memory_kb > 0);
     assert_ne!(machine.descriptors, Some(0));
 }
+
+#[test]
+fn settings_with_more_placers_than_descriptors_are_refused_and_the_default_is_not() {
+    let need = Need::of_settings(&Settings::default());
+    assert_eq!(check(&need, &MACHINE), Ok(()));
+    let settings = Settings { placers: 40, ..Settings::default() };
+    let needed = settings.descriptors_needed();
+    let here = Excess::DescriptorsHere { needed, allowed: 20_000 };
+    let refused = check(&Need::of_settings(&settings), &MACHINE).expect_err("too many");
+    assert_eq!(refused, BudgetError { excesses: vec![here] });
+}
+
+#[test]
+fn the_size_of_a_run_is_that_of_its_settings() {
+    let settings = Settings { workers: 70, placers: 5, standing: 90, ..Settings::default() };
+    let size = RunSize { workers: 70, placers: 5, standing: 90, connections: 20, placer_sockets: 1_024 };
+    assert_eq!(RunSize::of(&settings), size);
+}
--- a/crates/scale/src/cli.rs
+++ b/crates/scale/src/cli.rs
@@ -1,23 +1,27 @@
 //! The command line.
 
+mod sweep;
+mod terminal;
+
 use crate::error::RunError;
-use crate::sample::ProcSampler;
 use crate::results::{self, RunResult};
-use crate::run::{Progress, Watcher, own_descriptors, run};
+use crate::run::{admit, own_descriptors, run};
+use crate::sample::ProcSampler;
 use crate::settings::{Settings, SettingsArgs, SettingsError};
+use crate::sweep::{PlanError, SweepError};
+use crate::sweep_runner::{PointError, SweepRunError};
 use clap::error::ErrorKind;
 use clap::{Args, Parser, Subcommand};
+use serde::Serialize;
 use std::fs;
-use std::io::{IsTerminal, Write};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use terminal::Terminal;
 
 /// The run could not be carried out, or was ended from outside.
 const FAILED: u8 = 1;
-/// The settings can't be meant.
-const BAD_SETTINGS: u8 = 2;
+/// Refused before anything started: it can't be meant, or needs more than the machine has for it.
+const REFUSED: u8 = 2;
 /// A rule was broken: a task was lost, started twice or answered twice.
 const RULE_BROKEN: u8 = 3;
 /// The figures are of no use.
@@ -27,8 +31,8 @@
 
 /// Runs real placers among thousands of hollow workers, and tells what each costs by second.
 ///
-/// Exit codes: 0 good, 1 the run failed or was ended, 2 the settings can't be meant, 3 a rule is broken, 4 the
-/// figures are of no use.
+/// Exit codes: 0 good, 1 a run failed or was ended, 2 refused: it can't be meant or needs too much, 3 a rule is
+/// broken, 4 the figures are of no use.
 #[derive(Debug, Parser)]
 #[command(name = "anisehead-scale", version, max_term_width = 100)]
 struct Cli {
@@ -42,7 +46,8 @@
     Run(RunArgs),
     /// Check settings and print what holds
     Check(SettingsArgs),
-    // The subcommand of sweeps stands here: one run after the other over a list of settings.
+    /// Run many times with one number varied, and fit each figure over it
+    Sweep(sweep::SweepArgs),
 }
 
 #[derive(Debug, Args)]
@@ -62,6 +67,12 @@
 enum Failure {
     #[error(transparent)]
     Run(#[from] RunError),
+    #[error(transparent)]
+    Plan(#[from] PlanError),
+    #[error(transparent)]
+    Point(#[from] PointError),
+    #[error(transparent)]
+    Sweep(SweepError<SweepRunError>),
     #[error("write the result to {path}: {source}")]
     Write { path: PathBuf, source: std::io::Error },
     #[error("take over signals: {0}")]
@@ -74,6 +85,31 @@
     }
 }
 
+impl Failure {
+    fn code(&self) -> u8 {
+        match self {
+            Failure::Plan(_) => REFUSED,
+            Failure::Run(error) if error.is_refusal() => REFUSED,
+            Failure::Point(error) if error.source.is_refusal() => REFUSED,
+            Failure::Sweep(SweepError::Plan(_)) => REFUSED,
+            Failure::Sweep(SweepError::Run { source: SweepRunError::RuleBroken { .. }, .. }) => RULE_BROKEN,
+            _ => FAILED,
+        }
+    }
+
+    /// Tells it on stderr: each thing of which a run needs too much has a line of its own.
+    fn print(&self) {
+        let (prefix, excesses) = match self {
+            Failure::Run(RunError::Budget(error)) => (String::new(), &error.excesses),
+            Failure::Point(PointError { axis, value, source: RunError::Budget(error) }) => {
+                (format!("{axis} {value}: "), &error.excesses)
+            }
+            _ => return eprintln!("anisehead-scale: {self}"),
+        };
+        excesses.iter().for_each(|excess| eprintln!("anisehead-scale: {prefix}{excess}"));
+    }
+}
+
 /// Does what the command line says.
 pub fn main() -> ExitCode {
     let cli = match Cli::try_parse() {
@@ -83,15 +119,12 @@
     let done = match cli.command {
         Command::Run(args) => run_once(&args),
         Command::Check(args) => check(&args),
+        Command::Sweep(args) => sweep::run(&args),
     };
-    match done {
-        Ok(code) => code,
-        Err(failure) => {
-            eprintln!("anisehead-scale: {failure}");
-            let bad = matches!(failure, Failure::Run(RunError::Settings(_)));
-            ExitCode::from(if bad { BAD_SETTINGS } else { FAILED })
-        }
-    }
+    done.unwrap_or_else(|failure| {
+        failure.print();
+        ExitCode::from(failure.code())
+    })
 }
 
 /// A command line that can't be meant gets one line; help and version are printed whole.
@@ -103,17 +136,17 @@
     }
     let text = error.to_string();
     eprintln!("anisehead-scale: {}", text.lines().next().unwrap_or("bad command line"));
-    ExitCode::from(BAD_SETTINGS)
+    ExitCode::from(REFUSED)
 }
 
-fn checked(args: &SettingsArgs) -> Result<Settings, SettingsError> {
+fn admitted(args: &SettingsArgs) -> Result<Settings, Failure> {
     let settings = args.settings()?;
-    settings.check(own_descriptors())?;
+    admit(&settings)?;
     Ok(settings)
 }
 
 fn check(args: &SettingsArgs) -> Result<ExitCode, Failure> {
-    let settings = checked(args)?;
+    let settings = admitted(args)?;
     print!("{}", settings.to_toml());
     println!("# placers stated: {}", settings.stated_placers());
     println!("# room of a worker: {} tasks", settings.room());
@@ -126,21 +159,25 @@
 }
 
 fn run_once(args: &RunArgs) -> Result<ExitCode, Failure> {
-    let settings = checked(&args.settings)?;
-    let program = args.program.clone().unwrap_or_else(program_beside);
+    let settings = admitted(&args.settings)?;
+    let program = program_or_beside(args.program.as_ref());
     let mut watcher = Terminal::new().map_err(Failure::Signals)?;
     let result = run(&settings, &program, &mut ProcSampler, &mut watcher);
     watcher.clear();
     let result = result?;
     print!("{}", results::print(&result));
-    if let Some(path) = &args.json {
-        let json = serde_json::to_string_pretty(&result).map_err(std::io::Error::from);
-        let written = json.and_then(|json| fs::write(path, json + "\n"));
-        written.map_err(|source| Failure::Write { path: path.clone(), source })?;
-    }
+    write_json(args.json.as_deref(), &result)?;
     Ok(ExitCode::from(verdict(&result)))
 }
 
+/// Writes a result to a file, if one is named.
+fn write_json(path: Option<&Path>, result: &impl Serialize) -> Result<(), Failure> {
+    let Some(path) = path else { return Ok(()) };
+    let json = serde_json::to_string_pretty(result).map_err(std::io::Error::from);
+    let written = json.and_then(|json| fs::write(path, json + "\n"));
+    written.map_err(|source| Failure::Write { path: path.to_path_buf(), source })
+}
+
 /// The exit code of a result.
 fn verdict(result: &RunResult) -> u8 {
     if result.fleet.rules_broken() > 0 {
@@ -152,48 +189,8 @@
     }
 }
 
-/// The placer's program in the folder of this one.
-fn program_beside() -> PathBuf {
-    let own = std::env::current_exe().unwrap_or_default();
-    own.with_file_name(PROGRAM)
-}
-
-/// Shows progress on a terminal, and takes Ctrl-C and SIGTERM as the wish to end.
-struct Terminal {
-    stop: Arc<AtomicBool>,
-    shows: bool,
-}
-
-impl Terminal {
-    fn new() -> std::io::Result<Terminal> {
-        let stop = Arc::new(AtomicBool::new(false));
-        for signal in [signal_hook::consts::SIGINT, signal_hook::consts::SIGTERM] {
-            signal_hook::flag::register(signal, stop.clone())?;
-        }
-        Ok(Terminal { stop, shows: std::io::stderr().is_terminal() })
-    }
-
-    fn clear(&self) {
-        if self.shows {
-            eprint!("\r\x1b[K");
-        }
-    }
-}
-
-impl Watcher for Terminal {
-    fn progress(&mut self, progress: &Progress) {
-        if !self.shows {
-            return;
-        }
-        let Progress { step, seconds, started, refused, waiting, held, connections } = progress;
-        eprint!(
-            "\r\x1b[K{step} {seconds} s: {started} started, {refused} refused, {waiting} wait, \
-             {held} held, {connections} connections"
-        );
-        let _ = std::io::stderr().flush();
-    }
-
-    fn stop_wanted(&self) -> bool {
-        self.stop.load(Ordering::Relaxed)
-    }
+/// The placer's program: the one that is named, or the one in the folder of this program.
+fn program_or_beside(named: Option<&PathBuf>) -> PathBuf {
+    let beside = || std::env::current_exe().unwrap_or_default().with_file_name(PROGRAM);
+    named.cloned().unwrap_or_else(beside)
 }
--- /dev/null
+++ b/crates/scale/src/cli/sweep.rs
@@ -0,0 +1,124 @@
+//! The subcommand `sweep`.
+
+use super::terminal::Terminal;
+use super::{Failure, NOT_USABLE, program_or_beside, write_json};
+use crate::sample::ProcSampler;
+use crate::settings::{Settings, SettingsError};
+use crate::sweep::{Axis, AxisPlan, SweepError, SweepPlan, SweepReport, sweep};
+use crate::sweep_runner::{ScaleRunner, SweepRunError, admit_all, base_of, default_axis};
+use clap::Args;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::time::Duration;
+use strum::IntoEnumIterator;
+
+/// The plan of a sweep that names none.
+const DEFAULT_PLAN: &str = include_str!("../../plans/sweep.toml");
+/// What the default plan is called in reports.
+const DEFAULT_PLAN_NAME: &str = "sweep.toml";
+/// Time with load before figures count, in each run: tasks start within a fraction of a second, and a sweep makes
+/// many runs.
+const WARM_UP: Duration = Duration::from_secs(3);
+
+/// The options of a sweep.
+#[derive(Debug, Args)]
+pub struct SweepArgs {
+    /// A TOML file with the settings of the base point; without it the plan of sweeps that comes with the package
+    plan: Option<PathBuf>,
+    /// What is varied: workers, standing, rate, events; may be named several times [default: all]
+    #[arg(long = "axis", value_name = "AXIS", value_parser = axis)]
+    axes: Vec<Axis>,
+    /// The values that the axis takes, at least four; needs exactly one --axis
+    #[arg(long, value_name = "A,B,C,D", value_delimiter = ',', allow_hyphen_values = true)]
+    values: Vec<f64>,
+    /// Runs of each value
+    #[arg(long, default_value_t = 3)]
+    repeats: u32,
+    /// Set one setting of the base point, as in the file: `--set workers=2000 --set life=60s`; goes before all else
+    #[arg(long = "set", value_name = "NAME=VALUE")]
+    set: Vec<String>,
+    /// The placer's program; without it the one beside this program
+    #[arg(long)]
+    program: Option<PathBuf>,
+    /// Time over which the figures of a run count, in seconds
+    #[arg(long, default_value_t = 8)]
+    seconds: u64,
+    /// Write the report there as JSON; where a run fails, what was measured before, marked as partial
+    #[arg(long, value_name = "FILE")]
+    json: Option<PathBuf>,
+}
+
+/// An axis by its name.
+fn axis(name: &str) -> Result<Axis, String> {
+    let names: Vec<String> = Axis::iter().map(|axis| axis.to_string()).collect();
+    name.parse().map_err(|_| format!("expected one of {}", names.join(", ")))
+}
+
+impl SweepArgs {
+    /// The settings of the base point.
+    fn settings(&self) -> Result<Settings, SettingsError> {
+        let mut settings = match &self.plan {
+            Some(path) => Settings::load(path)?,
+            None => Settings::parse(DEFAULT_PLAN)?,
+        };
+        settings.duration = Duration::from_secs(self.seconds);
+        settings.warm_up = WARM_UP;
+        settings.set_pairs(&self.set)?;
+        Ok(settings)
+    }
+
+    /// What is swept from this base point.
+    fn sweep_plan(&self, settings: &Settings) -> Result<SweepPlan, SettingsError> {
+        let axes = match (self.values.as_slice(), self.axes.as_slice()) {
+            ([], []) => Axis::iter().map(|axis| default_axis(settings, axis)).collect(),
+            ([], named) => named.iter().map(|axis| default_axis(settings, *axis)).collect(),
+            (values, [axis]) => vec![AxisPlan { axis: *axis, values: values.to_vec() }],
+            (_, named) => {
+                let found = format!("{} of them", named.len());
+                return Err(SettingsError::new("--values", "exactly one --axis beside it", found));
+            }
+        };
+        let name = self.plan.as_deref().unwrap_or(Path::new(DEFAULT_PLAN_NAME)).display().to_string();
+        Ok(SweepPlan { base: base_of(settings, &name), axes, repeats: self.repeats })
+    }
+}
+
+/// Sweeps, and prints the report.
+pub fn run(args: &SweepArgs) -> Result<ExitCode, Failure> {
+    let settings = args.settings()?;
+    let plan = args.sweep_plan(&settings)?;
+    plan.check()?;
+    admit_all(&plan, &settings)?;
+    let swept = sweep_with_terminal(&plan, settings, program_or_beside(args.program.as_ref()))?;
+    let json = args.json.as_deref();
+    match swept {
+        Ok(report) => {
+            print!("{report}");
+            write_json(json, &report)?;
+            Ok(ExitCode::from(verdict(&report)))
+        }
+        Err(error) => {
+            if let SweepError::Run { before, .. } = &error {
+                // That the run has failed is told first, and the rest only if that was not all.
+                write_json(json, before).unwrap_or_else(|failure| failure.print());
+            }
+            Err(Failure::Sweep(error))
+        }
+    }
+}
+
+type Swept = Result<SweepReport, SweepError<SweepRunError>>;
+
+fn sweep_with_terminal(plan: &SweepPlan, settings: Settings, program: PathBuf) -> Result<Swept, Failure> {
+    let terminal = Terminal::new().map_err(Failure::Signals)?;
+    let mut watcher = terminal.clone();
+    let mut runner = ScaleRunner { settings, program, sampler: &mut ProcSampler, watcher: &mut watcher };
+    let swept = sweep(plan, &mut runner, &mut |progress| terminal.sweep_progress(progress));
+    terminal.clear();
+    Ok(swept)
+}
+
+/// The exit code of a report: figures are of no use where an axis has too few usable runs for any fit.
+fn verdict(report: &SweepReport) -> u8 {
+    if report.axes.iter().all(|axis| axis.is_fitted()) { 0 } else { NOT_USABLE }
+}
--- a/crates/scale/src/error.rs
+++ b/crates/scale/src/error.rs
@@ -1,5 +1,6 @@
 //! What goes wrong in a run.
 
+use crate::budget::BudgetError;
 use crate::identity::PlacerId;
 use crate::settings::SettingsError;
 use std::io;
@@ -12,6 +13,9 @@
     /// The settings can't be meant.
     #[error(transparent)]
     Settings(#[from] SettingsError),
+    /// The run needs more than the machine has for it.
+    #[error(transparent)]
+    Budget(#[from] BudgetError),
     /// A placer's program could not be started.
     #[error("placer program {program}: {source}")]
     Program {
@@ -62,6 +66,11 @@
 }
 
 impl RunError {
+    /// Whether the run was refused before anything started: it can't be meant, or needs too much.
+    pub fn is_refusal(&self) -> bool {
+        matches!(self, RunError::Settings(_) | RunError::Budget(_))
+    }
+
     /// Names what the system refused.
     pub fn system(what: &'static str) -> impl FnOnce(io::Error) -> RunError {
         move |source| RunError::System { what, source }
--- a/crates/scale/src/results.rs
+++ b/crates/scale/src/results.rs
@@ -91,6 +91,8 @@
     pub bad_messages: u64,
     /// Measured starts a second.
     pub starts_per_s: f64,
+    /// Times to start of all measured tasks.
+    pub all_start_times: Percentiles,
     /// Times to start of the measured tasks, by class.
     pub start_times: Vec<ClassTimes>,
     /// The generator's own lateness: from when tasks were due to when their set-ups were sent.
--- a/crates/scale/src/run.rs
+++ b/crates/scale/src/run.rs
@@ -13,12 +13,14 @@
 mod stage;
 
 use crate::audit::{Kill, audit};
+use crate::budget::{self, Machine, Need};
 use crate::clients::{ArrivalWindow, ClientBooks, ClientOrder};
 use crate::deployment::Class;
 use crate::error::RunError;
 use crate::process_sample::Sampler;
 use crate::results::{ClassTimes, FleetTotals, Percentiles, RunResult};
 use crate::settings::Settings;
+use crate::timing::Times;
 use crate::workers::{WorkerOrder, WorkerReport};
 use meter::Meter;
 use rustix::process::{Resource, getrlimit};
@@ -85,6 +87,14 @@
     getrlimit(Resource::Nofile).current.unwrap_or(u64::MAX)
 }
 
+/// Refuses settings that can't be meant, or that need more than the machine has for a run.
+pub fn admit(settings: &Settings) -> Result<(), RunError> {
+    settings.check()?;
+    let machine = Machine::read().map_err(RunError::system("read what the machine has"))?;
+    budget::check(&Need::of_settings(settings), &machine)?;
+    Ok(())
+}
+
 /// Runs these settings with this program as placer.
 pub fn run(
     settings: &Settings,
@@ -92,7 +102,7 @@
     sampler: &mut dyn Sampler,
     watcher: &mut dyn Watcher,
 ) -> Result<RunResult, RunError> {
-    settings.check(own_descriptors())?;
+    admit(settings)?;
     let mut run = Run { stage: Stage::start(settings, program)?, watcher, kills: Vec::new() };
     run.make_ready()?;
     let window = run.begin(settings);
@@ -234,7 +244,7 @@
 /// Ends everything, and puts the result together.
 fn finish(settings: &Settings, stage: Stage, meter: Meter, kills: &[Kill]) -> Result<RunResult, RunError> {
     let ended = stage.stop()?;
-    let fleet = fleet_totals(settings, &ended.clients, &ended.workers, kills);
+    let fleet = fleet_totals(settings, &ended.clients, &ended.workers, kills)?;
     let (memory, processes) = (meter.memory(), 1 + usize::from(settings.placers));
     let machine_busy = meter.machine_busy();
     let reason = late_reason(settings, &fleet).or_else(|| full_reason(settings, machine_busy));
@@ -256,22 +266,29 @@
     clients: &ClientBooks,
     workers: &WorkerReport,
     kills: &[Kill],
-) -> FleetTotals {
+) -> Result<FleetTotals, RunError> {
     let mut totals = FleetTotals::default();
     audit(&mut totals, &clients.tasks, &workers.books, kills);
     totals.answered_twice = clients.second_answers;
     totals.bad_messages += clients.bad_messages;
     totals.lateness = Percentiles::of(&clients.timings.lateness);
     totals.worker_lateness = Percentiles::of(&workers.lateness);
+    totals.all_start_times = Percentiles::of(&all_times(&clients.timings.to_start)?);
     let classes = Class::ALL.iter().zip(&clients.timings.to_start);
     let times = |(class, times): (&Class, _)| ClassTimes {
         class: class.name().to_string(),
         times: Percentiles::of(times),
     };
     totals.start_times = classes.map(times).filter(|class| class.times.count > 0).collect();
-    let measured: u64 = totals.start_times.iter().map(|class| class.times.count).sum();
-    totals.starts_per_s = measured as f64 / settings.duration.as_secs_f64();
-    totals
+    totals.starts_per_s = totals.all_start_times.count as f64 / settings.duration.as_secs_f64();
+    Ok(totals)
+}
+
+/// The times of all classes together.
+fn all_times(classes: &[Times]) -> Result<Times, RunError> {
+    let mut all = Times::new().map_err(RunError::system("make a histogram"))?;
+    classes.iter().for_each(|times| all.merge(times));
+    Ok(all)
 }
 
 /// Why the hollow peers' own lateness makes a run of no use, if it does.
--- a/crates/scale/src/settings.rs
+++ b/crates/scale/src/settings.rs
@@ -25,7 +25,7 @@
 }
 
 impl SettingsError {
-    fn new(name: &str, expected: impl ToString, found: impl ToString) -> SettingsError {
+    pub(crate) fn new(name: &str, expected: impl ToString, found: impl ToString) -> SettingsError {
         let one_line = |text: String| text.split_whitespace().collect::<Vec<_>>().join(" ");
         SettingsError {
             name: name.to_string(),
--- a/crates/scale/src/settings/check.rs
+++ b/crates/scale/src/settings/check.rs
@@ -20,12 +20,12 @@
 type Checked = Result<(), SettingsError>;
 
 impl Settings {
-    /// Checks them all; the first that can't be meant is named. `descriptors` is what this process may hold.
-    pub fn check(&self, descriptors: u64) -> Checked {
+    /// Checks them all; the first that can't be meant is named. Whether the machine has what they need is said by
+    /// [`crate::budget`].
+    pub fn check(&self) -> Checked {
         self.check_values()?;
         self.check_spans()?;
         self.check_together()?;
-        self.check_descriptors(descriptors)?;
         self.faults
             .iter()
             .enumerate()
@@ -105,17 +105,6 @@
         OWN_DESCRIPTORS + placers * (calls + kept + listeners)
     }
 
-    fn check_descriptors(&self, limit: u64) -> Checked {
-        let needed = self.descriptors_needed();
-        if needed > limit {
-            let expected =
-                format!("so few that this process holds at most its {limit} descriptors, not {needed}");
-            let found = format!("{} with placer-sockets = {}", self.placers, self.placer_sockets);
-            return Err(SettingsError::new("placers", expected, found));
-        }
-        Ok(())
-    }
-
     fn check_fault(&self, name: &str, fault: &Fault) -> Checked {
         match fault {
             Fault::Zone { zone, told_after, back_after, .. } => {
--- a/crates/scale/src/settings/flags.rs
+++ b/crates/scale/src/settings/flags.rs
@@ -61,19 +61,20 @@
             Some(path) => Settings::load(path)?,
             None => Settings::default(),
         };
+        self.apply(&mut settings)?;
+        Ok(settings)
+    }
+
+    /// Sets what the flags say.
+    fn apply(&self, settings: &mut Settings) -> Result<(), SettingsError> {
         for (name, value) in self.named() {
-            set(&mut settings, name, value)?;
-        }
-        for pair in &self.set {
-            let Some((name, value)) = pair.split_once('=') else {
-                return Err(SettingsError::new("--set", "NAME=VALUE", pair));
-            };
-            set(&mut settings, name.trim(), value.trim())?;
+            set(settings, name, value)?;
         }
+        settings.set_pairs(&self.set)?;
         for table in &self.faults {
             settings.faults.push(fault(table)?);
         }
-        Ok(settings)
+        Ok(())
     }
 
     fn named(&self) -> impl Iterator<Item = (&'static str, &str)> {
@@ -95,6 +96,16 @@
     }
 }
 
+impl Settings {
+    /// Sets each setting that is named by a text such as `workers=2000`.
+    pub fn set_pairs(&mut self, pairs: &[String]) -> Result<(), SettingsError> {
+        pairs.iter().try_for_each(|pair| match pair.split_once('=') {
+            Some((name, value)) => set(self, name.trim(), value.trim()),
+            None => Err(SettingsError::new("--set", "NAME=VALUE", pair)),
+        })
+    }
+}
+
 /// Sets one setting to a text.
 fn set(settings: &mut Settings, name: &str, text: &str) -> Result<(), SettingsError> {
     match name {
--- a/crates/scale/src/settings/tests.rs
+++ b/crates/scale/src/settings/tests.rs
@@ -2,11 +2,9 @@
 
 use super::*;
 
-const DESCRIPTORS: u64 = 20_000;
-
 /// The line that these settings get.
 fn refused(text: &str) -> String {
-    let checked = Settings::parse(text).and_then(|settings| settings.check(DESCRIPTORS));
+    let checked = Settings::parse(text).and_then(|settings| settings.check());
     checked.expect_err(text).to_string()
 }
 
@@ -14,7 +12,7 @@
 fn no_settings_are_the_default_which_holds_and_survives_the_way_through_toml() {
     let settings = Settings::parse("").expect("settings");
     assert_eq!(settings, Settings::default());
-    assert_eq!(settings.check(DESCRIPTORS), Ok(()));
+    assert_eq!(settings.check(), Ok(()));
     assert_eq!(Settings::parse(&settings.to_toml()), Ok(settings));
 }
 
@@ -24,7 +22,7 @@
                 [[fault]]\nkind = \"placer\"\nat = \"7s\"\nplacer = 1\nback-after = \"500ms\"\n\
                 [[fault]]\nkind = \"garbage\"\nat = \"9s\"\nworkers = 3\n";
     let settings = Settings::parse(text).expect("settings");
-    assert_eq!(settings.check(DESCRIPTORS), Ok(()));
+    assert_eq!(settings.check(), Ok(()));
     assert_eq!(settings.faults.len(), 3);
     assert_eq!(settings.faults[0].end(), Duration::from_secs(11));
     assert_eq!(Settings::parse(&settings.to_toml()), Ok(settings));
@@ -60,7 +58,6 @@
         ("workers = 5\nworkers = 6", "setting workers: expected"),
         ("task-cores = 40.0", "setting task-cores: expected 0.001 to 32, found 40"),
         ("placer-sockets = 20", "setting placer-sockets: expected 64 to 1048576, found 20"),
-        ("placers = 40", "setting placers: expected so few that this process holds at most its 20000"),
         (
             &zone("at = \"1s\"\nzone = \"z9\"\nback-after = \"5s\""),
             "setting fault 0: zone: expected one of z0, z1, z2, z3, z4, z5, z6, found z9",
--- a/crates/scale/src/sweep.rs
+++ b/crates/scale/src/sweep.rs
@@ -57,7 +57,7 @@
     #[error(transparent)]
     Plan(#[from] PlanError),
     /// A run could not be made.
-    #[error("{axis} {value}, repeat {repeat}: {source}")]
+    #[error("{axis} {value}, repeat {}: {source}", .repeat + 1)]
     Run {
         /// The axis that was varied.
         axis: Axis,
@@ -67,6 +67,8 @@
         repeat: u32,
         /// What the runner said.
         source: E,
+        /// What was measured before, marked as partial.
+        before: Box<SweepReport>,
     },
 }
 
@@ -132,20 +134,32 @@
     plan.check()?;
     let total = plan.runs();
     let mut done = 0;
-    let mut axes = Vec::new();
+    let mut report =
+        SweepReport { base: plan.base.clone(), repeats: plan.repeats, partial: false, axes: Vec::new() };
     for axis in &plan.axes {
         let mut outcomes = Vec::new();
         for run in order(axis, plan.repeats) {
-            let mut tell = |step| {
-                let PlannedRun { axis, value, repeat } = run;
-                progress(&Progress { axis, value, repeat, done, total, step });
-            };
-            outcomes.push(attempt(run, runner, &mut tell)?);
+            let PlannedRun { axis: varied, value, repeat } = run;
+            let mut tell = |step| progress(&Progress { axis: varied, value, repeat, done, total, step });
+            match attempt(run, runner, &mut tell) {
+                Ok(outcome) => outcomes.push(outcome),
+                Err(source) => {
+                    report.partial = true;
+                    report.axes.push(AxisReport::of(axis, &outcomes));
+                    return Err(SweepError::Run {
+                        axis: varied,
+                        value,
+                        repeat,
+                        source,
+                        before: Box::new(report),
+                    });
+                }
+            }
             done += 1;
         }
-        axes.push(AxisReport::of(axis, &outcomes));
+        report.axes.push(AxisReport::of(axis, &outcomes));
     }
-    Ok(SweepReport { base: plan.base.clone(), repeats: plan.repeats, axes })
+    Ok(report)
 }
 
 /// The runs of an axis, round by round: a machine that drifts over minutes touches all values alike. Every
@@ -167,17 +181,12 @@
     run: PlannedRun,
     runner: &mut R,
     tell: &mut dyn FnMut(Step),
-) -> Result<Outcome, SweepError<R::Error>> {
+) -> Result<Outcome, R::Error> {
     let PlannedRun { axis, value, repeat } = run;
     let mut reasons = Vec::new();
     tell(Step::Starts);
     loop {
-        let measured = runner.run(axis, value, repeat).map_err(|source| SweepError::Run {
-            axis,
-            value,
-            repeat,
-            source,
-        })?;
+        let measured = runner.run(axis, value, repeat)?;
         let Some(reason) = measured.fault() else {
             tell(Step::Measured);
             return Ok(Outcome { run, figures: Some(measured.figures), reasons });
--- a/crates/scale/src/sweep/axis.rs
+++ b/crates/scale/src/sweep/axis.rs
@@ -43,14 +43,14 @@
         }
     }
 
-    /// The values of a sweep that names none: four or more, over at least one and a half orders of magnitude,
-    /// so that curves part from lines.
+    /// The values of a sweep that names none: few enough that a sweep of all axes, with three repeats, takes
+    /// about a quarter of an hour at the sweep's usual times. Their largest are those of the target.
     pub fn default_values(self) -> &'static [f64] {
         match self {
-            Axis::Workers => &[100.0, 400.0, 1000.0, 2000.0, 4000.0, 7300.0],
-            Axis::Standing => &[500.0, 2000.0, 5000.0, 10_000.0, 20_000.0],
-            Axis::Rate => &[10.0, 50.0, 100.0, 200.0, 400.0],
-            Axis::Events => &[1.0, 10.0, 25.0, 50.0, 100.0],
+            Axis::Workers => &[100.0, 1_000.0, 2_500.0, 5_000.0, 7_300.0],
+            Axis::Standing => &[0.0, 10_000.0, 40_000.0, 80_000.0, 120_000.0],
+            Axis::Rate => &[20.0, 60.0, 120.0, 240.0],
+            Axis::Events => &[0.0, 50.0, 200.0, 800.0],
         }
     }
 }
--- a/crates/scale/src/sweep/plan.rs
+++ b/crates/scale/src/sweep/plan.rs
@@ -38,6 +38,17 @@
     pub fn with_default_values(axis: Axis) -> AxisPlan {
         AxisPlan { axis, values: axis.default_values().to_vec() }
     }
+
+    /// The axis with its default values, all made smaller by one factor if the largest is over a limit.
+    pub fn with_default_values_up_to(axis: Axis, limit: f64) -> AxisPlan {
+        let plan = AxisPlan::with_default_values(axis);
+        let largest = plan.values.iter().copied().fold(0.0, f64::max);
+        if largest <= limit {
+            return plan;
+        }
+        let smaller = plan.values.iter().map(|value| (value * limit / largest).floor());
+        AxisPlan { axis, values: smaller.collect() }
+    }
 }
 
 /// A sweep over one or more axes, one after the other.
--- a/crates/scale/src/sweep/report.rs
+++ b/crates/scale/src/sweep/report.rs
@@ -14,6 +14,8 @@
     pub base: Base,
     /// Runs that were asked for at each value.
     pub repeats: u32,
+    /// Whether a run that failed has ended the sweep: what follows is all that was measured before.
+    pub partial: bool,
     /// The axes, in the order in which they were swept.
     pub axes: Vec<AxisReport>,
 }
@@ -90,6 +92,11 @@
 }
 
 impl AxisReport {
+    /// Whether at least one figure has a fit.
+    pub fn is_fitted(&self) -> bool {
+        self.metrics.values().any(|report| matches!(report.verdict, Verdict::Fitted(_)))
+    }
+
     /// Gathers and fits the outcomes of an axis's runs.
     pub(super) fn of(plan: &AxisPlan, outcomes: &[Outcome]) -> AxisReport {
         let metrics: BTreeSet<Metric> =
--- a/crates/scale/src/sweep/table.rs
+++ b/crates/scale/src/sweep/table.rs
@@ -24,6 +24,9 @@
             "base: {} ({} workers, {} standing, {} starts/s, {} list events/s), {} repeats",
             base.description, base.workers, base.standing, base.rate, base.events, self.repeats
         )?;
+        if self.partial {
+            writeln!(f, "partial: a run has failed, and ended the sweep")?;
+        }
         for axis in &self.axes {
             writeln!(f, "\n{axis}")?;
         }
--- a/crates/scale/src/sweep/tests.rs
+++ b/crates/scale/src/sweep/tests.rs
@@ -309,7 +309,13 @@
 #[test]
 fn a_run_that_cannot_be_made_ends_the_sweep_and_is_named() {
     let error = sweep(&plan(&[1.0, 2.0, 3.0, 4.0], 3), &mut Breaking(0), &mut |_| ()).expect_err("an error");
-    assert_eq!(error.to_string(), "workers 3, repeat 0: no placer");
+    assert_eq!(error.to_string(), "workers 3, repeat 1: no placer");
+    let SweepError::Run { before, .. } = error else { panic!("no run: {error}") };
+    assert!(before.partial);
+    let measured = before.axes[0].metrics[&Metric::CpuShare].points.iter().map(|point| point.value);
+    assert_eq!(measured.collect::<Vec<f64>>(), [1.0, 2.0]);
+    assert!(!before.axes[0].is_fitted());
+    assert!(before.to_string().contains("\npartial: a run has failed"), "{before}");
 }
 
 #[test]
--- /dev/null
+++ b/crates/scale/src/sweep_runner/figures.rs
@@ -0,0 +1,71 @@
+//! The figures of a run that a sweep fits.
+
+use crate::deployment::Class;
+use crate::results::{PlacerResult, RunResult};
+use crate::sweep::Metric;
+use std::collections::BTreeMap;
+
+const PERCENT: f64 = 100.0;
+const MICROS_PER_SECOND: f64 = 1e6;
+
+/// The figures of a run: means over its placers, but times to start, which are of the fleet. A figure that the run
+/// does not have is missing. [`Metric::ControlCpu`] always is: a run can't part it from the rest.
+pub fn figures(result: &RunResult) -> BTreeMap<Metric, f64> {
+    let mut figures = BTreeMap::new();
+    for (metric, figure) in PLACER_FIGURES {
+        if let Some(mean) = mean(result.placers.iter().filter_map(figure)) {
+            figures.insert(metric, mean);
+        }
+    }
+    figures.extend(start_times(result));
+    figures.extend(cpu_per_event(result).map(|micros| (Metric::CpuPerEventMicros, micros)));
+    figures
+}
+
+type PlacerFigure = fn(&PlacerResult) -> Option<f64>;
+
+/// How each figure of a placer is read from its result.
+const PLACER_FIGURES: [(Metric, PlacerFigure); 11] = [
+    (Metric::CpuShare, |placer| Some(PERCENT * placer.totals.cpu_share)),
+    (Metric::PeakRssKb, |placer| Some(placer.totals.peak_kb as f64)),
+    (Metric::PssKb, |placer| Some(placer.totals.pss_peak_kb as f64)),
+    (Metric::ControlInBytes, |placer| Some(placer.totals.control.feed.to_bytes_per_s)),
+    (Metric::ControlOutBytes, |placer| Some(placer.totals.control.feed.from_bytes_per_s)),
+    (Metric::ControlMessages, |placer| {
+        let feed = placer.totals.control.feed;
+        Some(feed.to_messages_per_s + feed.from_messages_per_s)
+    }),
+    (Metric::ServiceBytes, |placer| {
+        let service = placer.totals.service.total;
+        Some(service.to_bytes_per_s + service.from_bytes_per_s)
+    }),
+    (Metric::FeedEvents, |placer| Some(placer.totals.feed.events_per_s)),
+    (Metric::FeedEntries, |placer| Some(placer.totals.feed.entries_per_s)),
+    (Metric::Descriptors, |placer| Some(placer.totals.descriptors_peak as f64)),
+    (Metric::ReadyMs, |placer| placer.ready_ms.first().copied()),
+];
+
+/// Times to start over the fleet.
+fn start_times(result: &RunResult) -> Vec<(Metric, f64)> {
+    let mut found = Vec::new();
+    let all = result.fleet.all_start_times;
+    if all.count > 0 {
+        found.extend([(Metric::StartP50Ms, all.p50_ms), (Metric::StartP99Ms, all.p99_ms)]);
+    }
+    let urgent = result.fleet.start_times.iter().find(|class| class.class == Class::Urgent.name());
+    found.extend(urgent.map(|class| (Metric::UrgentP99Ms, class.times.p99_ms)));
+    found
+}
+
+/// All processor time of the placers for each event that they were told; none where they were told none.
+fn cpu_per_event(result: &RunResult) -> Option<f64> {
+    let sum = |figure: fn(&PlacerResult) -> f64| result.placers.iter().map(figure).sum::<f64>();
+    let cores = sum(|placer| placer.totals.cpu_share);
+    let events_per_s = sum(|placer| placer.totals.feed.events_per_s);
+    (events_per_s > 0.0).then(|| MICROS_PER_SECOND * cores / events_per_s)
+}
+
+fn mean(figures: impl Iterator<Item = f64>) -> Option<f64> {
+    let figures: Vec<f64> = figures.collect();
+    (!figures.is_empty()).then(|| figures.iter().sum::<f64>() / figures.len() as f64)
+}
--- a/crates/scale/tests/command_line.rs
+++ b/crates/scale/tests/command_line.rs
@@ -1,5 +1,6 @@
 //! The command line: what it refuses, what it prints, and that it leaves nothing behind.
 
+use scale::sweep::SweepReport;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Output, Stdio};
 use std::time::{Duration, Instant};
@@ -44,9 +45,91 @@
     }
 }
 
+#[test]
+fn a_sweep_that_can_not_be_meant_ends_with_code_2_and_one_line_before_any_run() {
+    let small = plan("small.toml");
+    let small = small.to_str().expect("a path");
+    let of_workers = |rest: &[&'static str]| [&["sweep", "--axis", "workers"][..], rest].concat();
+    for (args, says) in [
+        (of_workers(&["--values", "20,40,60"]), "workers: 3 distinct values, and a fit needs at least 4"),
+        (of_workers(&["--values", "20,40,60,80,80"]), "workers: the value 80 stands twice"),
+        (of_workers(&["--values", "-20,40,60,80"]), "workers: the value -20 is below 0"),
+        (
+            of_workers(&["--values", "80.5,200,400,600"]),
+            "workers 80.5: setting workers: expected a whole number in its range, found 80.5",
+        ),
+        (of_workers(&["--values", "20,40,60,many"]), "invalid value 'many' for '--values"),
+        (of_workers(&["--repeats", "2"]), "2 repeats, and a sweep needs at least 3"),
+        (of_workers(&["--axis", "workers"]), "workers: named twice"),
+        (of_workers(&["--seconds", "0"]), "setting duration: expected 1s to 1day, found 0s"),
+        (of_workers(&["--set", "sead=1"]), "setting sead: expected the name of a setting, found sead=1"),
+        (
+            of_workers(&["--set", "standing=4000"]),
+            "workers 100: setting standing: expected at most the 3200 that 100 workers of 32 tasks hold",
+        ),
+        (
+            vec!["sweep", "--axis", "colour"],
+            "invalid value 'colour' for '--axis <AXIS>': expected one of workers, standing, rate, events",
+        ),
+        (vec!["sweep", "--values", "1,2,3,4"], "setting --values: expected exactly one --axis beside it"),
+        (vec!["sweep", small, "--axis", "rate", "--seconds", "3"], "setting fault 1: expected at and back"),
+        (vec!["sweep", "/nowhere/plan.toml"], "setting file: expected a TOML file"),
+    ] {
+        let out = output(&args);
+        let line = String::from_utf8(out.stderr).expect("text");
+        assert_eq!(out.status.code(), Some(2), "{args:?}: {line}");
+        assert!(line.contains(says), "{args:?}: {line}");
+        assert_eq!(line.lines().count(), 1, "{args:?}: {line}");
+        assert!(out.stdout.is_empty(), "{args:?}");
+    }
+}
+
+/// A run that needs more memory and descriptors than any machine gives to one.
+const HUGE: [&str; 6] = ["--set", "workers=16384", "--set", "placers=299", "--set", "placer-sockets=1048576"];
+
+#[test]
+fn a_run_that_needs_too_much_ends_with_code_2_and_a_line_for_each_excess() {
+    let of_rate = ["sweep", "--axis", "rate"];
+    for (command, prefix) in [(&["run"][..], ""), (&["check"], ""), (&of_rate, "rate 20: ")] {
+        let out = output(&[command, &HUGE].concat());
+        let lines = String::from_utf8(out.stderr).expect("text");
+        assert_eq!(out.status.code(), Some(2), "{command:?}: {lines}");
+        let needs = format!("anisehead-scale: {prefix}needs ");
+        assert!(lines.lines().all(|line| line.starts_with(&needs)), "{command:?}: {lines}");
+        assert!(lines.contains(" GiB of memory, half of the machine is "), "{command:?}: {lines}");
+        assert!(lines.contains(" descriptors in this process, its limit "), "{command:?}: {lines}");
+        assert!(out.stdout.is_empty(), "{command:?}");
+    }
+}
+
+#[test]
+fn a_run_that_fails_ends_the_sweep_with_its_cause_and_what_was_measured_is_written_as_partial() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let json = folder.path().join("sweep.json");
+    let values = ["sweep", "--axis", "workers", "--values", "20,40,60,80", "--set", "standing=10"];
+    let mut command = tool();
+    command.args(values).args(["--seconds", "1", "--program", "/bin/false", "--json"]).arg(&json);
+    let out = command.output().expect("it runs");
+    let line = String::from_utf8(out.stderr).expect("text");
+    assert_eq!(out.status.code(), Some(1), "{line}");
+    assert!(line.starts_with("anisehead-scale: workers 20, repeat 1: placer "), "{line}");
+    assert!(line.contains("ended by itself"), "{line}");
+    let text = std::fs::read_to_string(json).expect("a report");
+    let report = SweepReport::from_json(&text).expect("a report");
+    assert!(report.partial && report.axes.iter().all(|axis| axis.metrics.is_empty()), "{text}");
+}
+
+#[test]
+fn a_plan_is_found_by_a_path_that_is_relative() {
+    let mut command = tool();
+    command.args(["check", "plans/minute.toml"]).current_dir(env!("CARGO_MANIFEST_DIR"));
+    let out = command.output().expect("it runs");
+    assert!(out.status.success(), "{}", String::from_utf8_lossy(&out.stderr));
+}
+
 #[test]
 fn the_plans_that_come_with_the_package_hold() {
-    for name in ["small.toml", "minute.toml", "target.toml"] {
+    for name in ["small.toml", "minute.toml", "sweep.toml", "target.toml"] {
         let out = tool().arg("check").arg(plan(name)).output().expect("it runs");
         let text = String::from_utf8(out.stdout).expect("text");
         assert!(out.status.success(), "{name}: {}", String::from_utf8_lossy(&out.stderr));
--- a/crates/scale/tests/small_run.rs
+++ b/crates/scale/tests/small_run.rs
@@ -1,12 +1,15 @@
 //! A run of the small plan with real placers: counts and rules. No times are judged.
 
-use scale::sample::ProcSampler;
 use scale::results::PlacerResult;
+use scale::sample::ProcSampler;
 use scale::settings::{Connect, FeedRule};
+use scale::sweep::{Axis, Metric, Runner};
+use scale::sweep_runner::ScaleRunner;
 use scale::traffic::FeedCounts;
 use scale::{RunResult, Settings, Unwatched, run};
 use std::path::{Path, PathBuf};
 use std::time::Duration;
+use strum::IntoEnumIterator;
 
 /// The placer's program: `ANISEHEAD_BIN`, or the one beside the test that runs.
 fn program() -> PathBuf {
@@ -124,6 +127,19 @@
     }
 }
 
+#[test]
+fn a_run_of_a_sweep_has_every_figure_that_a_run_can_have() {
+    let (mut sampler, mut watcher) = (ProcSampler, Unwatched);
+    let (sampler, watcher) = (&mut sampler, &mut watcher);
+    let mut runner = ScaleRunner { settings: short(), program: program(), sampler, watcher };
+    let measured = runner.run(Axis::Events, 50.0, 0).expect("a run");
+    assert_eq!(measured.unusable, None);
+    let found: Vec<Metric> = measured.figures.keys().copied().collect();
+    let expected: Vec<Metric> = Metric::iter().filter(|metric| *metric != Metric::ControlCpu).collect();
+    assert_eq!(found, expected);
+    assert!(measured.figures.values().all(|figure| figure.is_finite()), "{measured:?}");
+}
+
 #[test]
 fn a_result_survives_the_way_through_json() {
     let settings = short();
