--- a/crates/scale/src/workers.rs
+++ b/crates/scale/src/workers.rs
@@ -2,7 +2,7 @@
 //!
 //! Each placer reaches each worker at an address of the worker and a port of the placer and the worker's
 //! zone, so that one listening socket serves all workers of a zone, and the port tells who calls. What the
-//! workers hold is in [`fleet::Fleet`], which knows nothing of sockets; [`thread::WorkerThread`] moves
+//! workers hold is in [`fleet::Fleet`], which knows nothing of sockets; `thread::WorkerThread` moves
 //! messages between it and the connections. Zones share nothing, so that each thread has the workers of some
 //! zones to itself.
 
