--- a/src/net/clients/pending_task_ends.rs
+++ b/src/net/clients/pending_task_ends.rs
@@ -87,7 +87,7 @@
     }
 
     /// Forgets an end that a client has acknowledged.
-    pub(super) fn acknowledge(&mut self, task: TaskId) {
-        self.sent.remove(&task);
+    pub(super) fn acknowledge(&mut self, task: TaskId) -> bool {
+        self.sent.remove(&task).is_some()
     }
 }
--- a/src/net/clients/task_ends.rs
+++ b/src/net/clients/task_ends.rs
@@ -7,6 +7,7 @@
 use super::table::Clients;
 use crate::net::codec::TaskId;
 use task_placer::Micros;
+use tracing::info;
 
 impl Clients {
     /// Returns the number of ends of tasks that no client has taken, or may not have read yet.
@@ -16,7 +17,8 @@
 
     /// Records that a client has acknowledged the end of this task.
     pub fn task_end_acknowledged(&mut self, task: TaskId) {
-        self.task_ends.acknowledge(task);
+        let acknowledged = self.task_ends.acknowledge(task);
+        info!(task = %task, acknowledged, "task end acknowledged");
     }
 
     /// Records a message that only clients send: the connection is sent what found no other. Guards the ends of tasks
@@ -47,6 +49,7 @@
         let is_sent =
             client.is_some_and(|client| !client.conn.is_closing() && client.conn.send(now, &bytes));
         if is_sent {
+            info!(task = %task, connection = %id, "task end sent after its response");
             self.task_ends.record_sent(now, id, task, bytes);
         } else {
             self.send_task_end(now, task, bytes);
@@ -71,9 +74,13 @@
                 )
             });
             match best {
-                None => return self.task_ends.keep_unsent(task, bytes),
+                None => {
+                    info!(task = %task, "task end waits for a client");
+                    return self.task_ends.keep_unsent(task, bytes);
+                }
                 Some((id, client)) if client.conn.send(now, &bytes) => {
                     let id = *id;
+                    info!(task = %task, connection = %id, proven = client.is_proven, "task end sent");
                     return self.task_ends.record_sent(now, id, task, bytes);
                 }
                 // It has closed under the write, and no byte has been sent.
