Failing test: the end of a task that a silent client does not acknowledge

Cause shown: an end that was written counts as delivered until its connection closes. Measured: the test fails on this commit (no message for 20 s).

--- a/tests/endings/main.rs
+++ b/tests/endings/main.rs
@@ -7,6 +7,7 @@
 mod feed;
 mod hosts;
 mod process;
+mod task_ends;
 
 use emulator::*;
 use simd_json::json;
