Send the end of a task on other connections until a client acknowledges it

Cause: PendingTaskEnds dropped an end from sight once one connection had taken it; only the close of that connection sent it again. Change: an end is pending until it is acknowledged. Without an acknowledgement in 150 ms it goes out on 1, 2, 4 ... further connections, which fits the protocol's 1 s among hundreds of silent ones; connections that acknowledged ends before come first, those that did not come last. Each step is logged with the task's id. The process does not exit while an end is under way. Ruled out: harm by repeats.

--- a/src/net/clients/pending_task_ends.rs
+++ b/src/net/clients/pending_task_ends.rs
@@ -1,93 +1,155 @@
 //! The ends of running tasks that no client has acknowledged. Data only: [`task_ends`](super::task_ends) sends them.
+//!
+//! An end that was handed to a socket has reached nobody yet: its client may have fallen silent with the connection open, or
+//! be none that knows the task. So an end stays here until it is acknowledged, with the connections that had it.
 
 use super::id::ClientId;
 use crate::net::codec::TaskId;
 use std::collections::{BTreeMap, BTreeSet};
 use task_placer::Micros;
 
-/// How long the end of a task is kept for the case that its connection closes unread.
+/// How long an end is kept after it was last sent.
 const MAX_UNACKNOWLEDGED: Micros = 10_000_000;
 /// How long the end of a task may be on its way to its client.
 const DELIVERY_TIME: Micros = 1_000_000;
+/// How long a client may take to acknowledge an end until it is sent on other connections too. An end has to reach its
+/// client within 1 s of the host's release (the protocol's figure), so several rounds must fit into that.
+pub(super) const ACKNOWLEDGE_TIMEOUT: Micros = 150_000;
+/// Rounds after which the number of connections is no longer doubled.
+const MAX_DOUBLINGS: u32 = 10;
 
-/// The end of a task as it was sent, until its client acknowledges it.
-pub(super) struct SentTaskEnd {
-    client: ClientId,
-    bytes: Vec<u8>,
-    sent_at: Micros,
+/// The end of a task, until a client acknowledges it.
+pub(super) struct PendingTaskEnd {
+    /// The message.
+    pub(super) bytes: Vec<u8>,
+    /// The connections that it was sent on.
+    tried: BTreeSet<ClientId>,
+    /// Those of the last round.
+    last_round: Vec<ClientId>,
+    /// How often it was sent so far, each time on all connections of a round.
+    rounds: u32,
+    /// When it was last sent, if it was.
+    sent_at: Option<Micros>,
+    /// No connection is left that it was not sent on.
+    waits_for_client: bool,
+}
+
+impl PendingTaskEnd {
+    fn new(bytes: Vec<u8>) -> PendingTaskEnd {
+        PendingTaskEnd {
+            bytes,
+            tried: BTreeSet::new(),
+            last_round: Vec::new(),
+            rounds: 0,
+            sent_at: None,
+            waits_for_client: false,
+        }
+    }
+
+    /// Whether it was sent on this connection.
+    pub(super) fn was_sent_on(&self, id: ClientId) -> bool {
+        self.tried.contains(&id)
+    }
+
+    /// Whether it was sent before.
+    pub(super) fn is_resend(&self) -> bool {
+        self.rounds > 0
+    }
+
+    /// Returns on how many connections it is sent next: twice as many each time, so that many silent clients do not use
+    /// up the time in which it has to arrive.
+    pub(super) fn connections_per_round(&self) -> usize {
+        1 << self.rounds.min(MAX_DOUBLINGS)
+    }
+
+    fn sent_within(&self, now: Micros, time: Micros) -> bool {
+        self.sent_at.is_some_and(|at| now - at < time)
+    }
 }
 
 /// The ends of tasks that no client has acknowledged.
 #[derive(Default)]
-pub(super) struct PendingTaskEnds {
-    /// For the next connection of a client.
-    unsent: Vec<(TaskId, Vec<u8>)>,
-    /// Sent, and not acknowledged yet.
-    sent: BTreeMap<TaskId, SentTaskEnd>,
-}
+pub(super) struct PendingTaskEnds(BTreeMap<TaskId, PendingTaskEnd>);
 
 impl PendingTaskEnds {
-    /// Removes and returns what was sent on a connection.
-    pub(super) fn take_sent_to(&mut self, id: ClientId) -> Vec<(TaskId, Vec<u8>)> {
-        let sent = self.sent.iter();
-        let tasks: Vec<TaskId> = sent
-            .filter(|(_, end)| end.client == id)
+    /// Adds the end of a task.
+    pub(super) fn insert(&mut self, task: TaskId, bytes: Vec<u8>) {
+        self.0.insert(task, PendingTaskEnd::new(bytes));
+    }
+
+    /// Returns the end of a task, if it is pending.
+    pub(super) fn get(&self, task: TaskId) -> Option<&PendingTaskEnd> {
+        self.0.get(&task)
+    }
+
+    /// Records on which connections an end was sent now; on none, it waits for the next client.
+    pub(super) fn record_round(&mut self, now: Micros, task: TaskId, connections: Vec<ClientId>) {
+        let Some(end) = self.0.get_mut(&task) else {
+            return;
+        };
+        end.waits_for_client = connections.is_empty();
+        if end.waits_for_client {
+            return;
+        }
+        end.rounds += 1;
+        end.sent_at = Some(now);
+        end.tried.extend(&connections);
+        end.last_round = connections;
+    }
+
+    /// Forgets an end that a client has acknowledged, and returns whether it was pending.
+    pub(super) fn acknowledge(&mut self, task: TaskId) -> bool {
+        self.0.remove(&task).is_some()
+    }
+
+    /// Returns the ends that were last sent on a connection.
+    pub(super) fn last_sent_on(&self, id: ClientId) -> Vec<TaskId> {
+        let ends = self.0.iter();
+        ends.filter(|(_, end)| end.last_round.contains(&id))
+            .map(|(task, _)| *task)
+            .collect()
+    }
+
+    /// Returns the ends that wait for the next client.
+    pub(super) fn waiting(&self) -> Vec<TaskId> {
+        let ends = self.0.iter();
+        ends.filter(|(_, end)| end.waits_for_client)
             .map(|(task, _)| *task)
-            .collect();
-        let ends = tasks.into_iter();
-        ends.filter_map(|task| Some((task, self.sent.remove(&task)?.bytes)))
+            .collect()
+    }
+
+    /// Returns the ends that were not acknowledged in time, with the connections that had them last.
+    pub(super) fn overdue(&self, now: Micros) -> Vec<(TaskId, Vec<ClientId>)> {
+        let ends = self.0.iter();
+        ends.filter(|(_, end)| !end.waits_for_client && !end.sent_within(now, ACKNOWLEDGE_TIMEOUT))
+            .map(|(task, end)| (*task, end.last_round.clone()))
             .collect()
     }
 
     /// Returns the connections on which the end of a task was sent within this time.
     pub(super) fn sent_within(&self, now: Micros, time: Micros) -> BTreeSet<ClientId> {
-        let sent = self.sent.values();
-        sent.filter(|end| now - end.sent_at < time)
-            .map(|end| end.client)
+        let ends = self.0.values();
+        ends.filter(|end| end.sent_within(now, time))
+            .flat_map(|end| end.last_round.iter().copied())
             .collect()
     }
 
-    /// Forgets what has waited for its acknowledgement for too long.
+    /// Forgets what was sent and has waited for its acknowledgement for too long.
     pub(super) fn forget_old(&mut self, now: Micros) {
-        self.sent
-            .retain(|_, end| now - end.sent_at < MAX_UNACKNOWLEDGED);
+        self.0
+            .retain(|_, end| end.sent_at.is_none() || end.sent_within(now, MAX_UNACKNOWLEDGED));
     }
 
     /// Returns the number of ends that no client has taken, or may not have read yet.
     pub(super) fn unconfirmed(&self, now: Micros) -> usize {
-        let sent = self.sent.values();
-        let under_way = sent.filter(|end| now - end.sent_at < DELIVERY_TIME).count();
-        self.unsent.len() + under_way
+        let ends = self.0.values();
+        ends.filter(|end| end.sent_at.is_none() || end.sent_within(now, DELIVERY_TIME))
+            .count()
     }
 
-    /// Keeps an end for the next connection of a client.
-    pub(super) fn keep_unsent(&mut self, task: TaskId, bytes: Vec<u8>) {
-        self.unsent.push((task, bytes));
-    }
-
-    /// Removes and returns the ends that were kept for the next connection.
-    pub(super) fn take_unsent(&mut self) -> Vec<(TaskId, Vec<u8>)> {
-        std::mem::take(&mut self.unsent)
-    }
-
-    /// Records that an end was sent on a connection.
-    pub(super) fn record_sent(
-        &mut self,
-        now: Micros,
-        client: ClientId,
-        task: TaskId,
-        bytes: Vec<u8>,
-    ) {
-        let end = SentTaskEnd {
-            client,
-            bytes,
-            sent_at: now,
-        };
-        self.sent.insert(task, end);
-    }
-
-    /// Forgets an end that a client has acknowledged.
-    pub(super) fn acknowledge(&mut self, task: TaskId) -> bool {
-        self.sent.remove(&task).is_some()
+    /// Whether an end is on its way to a client, or will be sent on other connections soon.
+    pub(super) fn is_delivering(&self, now: Micros) -> bool {
+        let mut ends = self.0.values();
+        ends.any(|end| !end.waits_for_client || end.sent_within(now, ACKNOWLEDGE_TIMEOUT))
     }
 }
--- a/src/net/clients/table.rs
+++ b/src/net/clients/table.rs
@@ -28,6 +28,8 @@
     pub(super) is_client: bool,
     /// A task has run that was requested or adopted on it.
     pub(super) is_proven: bool,
+    /// Whether the last end of a task that was sent on it was acknowledged in time, if any was sent.
+    pub(super) acknowledges_ends: Option<bool>,
     /// Running tasks that were requested or adopted on it.
     pub(super) running_tasks: usize,
     /// Bytes that were read from it.
@@ -48,6 +50,7 @@
             has_sent_message: false,
             is_client: false,
             is_proven: false,
+            acknowledges_ends: None,
             running_tasks: 0,
             bytes_read: 0,
             is_processing: false,
@@ -109,8 +112,8 @@
     pub fn remove(&mut self, now: Micros, id: ClientId) -> BTreeSet<Ticket> {
         let client = self.connections.remove(&id);
         let pending_responses = client.map(|client| client.pending_responses);
-        for (task, bytes) in self.task_ends.take_sent_to(id) {
-            self.send_task_end(now, task, bytes);
+        for task in self.task_ends.last_sent_on(id) {
+            self.deliver_task_end(now, task);
         }
         pending_responses.unwrap_or_default()
     }
--- a/src/net/clients/task_ends.rs
+++ b/src/net/clients/task_ends.rs
@@ -1,11 +1,12 @@
 //! Sends the ends of running tasks to clients, and keeps each until a client has acknowledged it.
 //!
-//! The end of a task belongs to no connection: it goes out on the one that is the most likely to be read, and again on
-//! another if that one closes first.
+//! The end of a task belongs to no connection: it goes out on the one that is the most likely to be read, and on others if
+//! it is not acknowledged soon, or if that connection closes first.
 
 use super::id::ClientId;
-use super::table::Clients;
+use super::table::{Client, Clients};
 use crate::net::codec::TaskId;
+use std::cmp::Reverse;
 use task_placer::Micros;
 use tracing::info;
 
@@ -15,10 +16,20 @@
         self.task_ends.unconfirmed(now)
     }
 
+    /// Whether the end of a task is on its way to a client, or will be sent on another connection soon.
+    pub fn is_delivering_task_ends(&self, now: Micros) -> bool {
+        self.task_ends.is_delivering(now)
+    }
+
     /// Records that a client has acknowledged the end of this task.
-    pub fn task_end_acknowledged(&mut self, task: TaskId) {
-        let acknowledged = self.task_ends.acknowledge(task);
-        info!(task = %task, acknowledged, "task end acknowledged");
+    pub fn task_end_acknowledged(&mut self, id: ClientId, task: TaskId) {
+        if !self.task_ends.acknowledge(task) {
+            return;
+        }
+        info!(task = %task, connection = %id, "task end acknowledged");
+        if let Some(client) = self.connections.get_mut(&id) {
+            client.acknowledges_ends = Some(true);
+        }
     }
 
     /// Records a message that only clients send: the connection is sent what found no other. Guards the ends of tasks
@@ -27,8 +38,8 @@
         let client = self.connections.get_mut(&id);
         let is_first = client.is_some_and(|client| !std::mem::replace(&mut client.is_client, true));
         if is_first {
-            for (task, bytes) in self.task_ends.take_unsent() {
-                self.send_task_end(now, task, bytes);
+            for task in self.task_ends.waiting() {
+                self.deliver_task_end(now, task);
             }
         }
     }
@@ -48,44 +59,78 @@
         let client = self.connections.get(&id);
         let is_sent =
             client.is_some_and(|client| !client.conn.is_closing() && client.conn.send(now, &bytes));
-        if is_sent {
-            info!(task = %task, connection = %id, "task end sent after its response");
-            self.task_ends.record_sent(now, id, task, bytes);
-        } else {
-            self.send_task_end(now, task, bytes);
+        if !is_sent {
+            return self.send_task_end(now, task, bytes);
         }
+        info!(task = %task, connection = %id, "task end sent after its response");
+        self.task_ends.insert(task, bytes);
+        self.task_ends.record_round(now, task, vec![id]);
     }
 
-    /// Sends the end of a task. It belongs to no connection: of those on which tasks were placed, the one that sent
-    /// last is the least likely to be closing under our hands, or to be no client at all. With none open, the next
-    /// client that sends a message gets it.
+    /// Sends the end of a task. It belongs to no connection; with none open, the next client that sends a message gets
+    /// it.
     pub fn send_task_end(&mut self, now: Micros, task: TaskId, bytes: Vec<u8>) {
-        loop {
-            let candidates = self
-                .connections
-                .iter()
-                .filter(|(_, client)| !client.conn.is_closing() && client.is_client);
-            let best = candidates.max_by_key(|(_, client)| {
-                let has_pending_responses = !client.pending_responses.is_empty();
-                (
-                    client.is_proven,
-                    has_pending_responses,
-                    client.last_message_at,
-                )
-            });
-            match best {
-                None => {
-                    info!(task = %task, "task end waits for a client");
-                    return self.task_ends.keep_unsent(task, bytes);
-                }
-                Some((id, client)) if client.conn.send(now, &bytes) => {
-                    let id = *id;
-                    info!(task = %task, connection = %id, proven = client.is_proven, "task end sent");
-                    return self.task_ends.record_sent(now, id, task, bytes);
+        self.task_ends.insert(task, bytes);
+        self.deliver_task_end(now, task);
+    }
+
+    /// Sends the ends again that were not acknowledged in time.
+    ///
+    /// Guards against clients that have fallen silent with their connections open, and against those that never knew the
+    /// task: writing to either succeeds, and nothing else would ever show that the end has not arrived.
+    pub fn resend_task_ends(&mut self, now: Micros) {
+        for (task, connections) in self.task_ends.overdue(now) {
+            for id in connections {
+                if let Some(client) = self.connections.get_mut(&id) {
+                    client.acknowledges_ends = Some(false);
                 }
-                // It has closed under the write, and no byte has been sent.
-                Some(_) => {}
             }
+            self.deliver_task_end(now, task);
         }
     }
+
+    /// Sends an end on the best connections that have not had it yet.
+    pub(super) fn deliver_task_end(&mut self, now: Micros, task: TaskId) {
+        let Some(end) = self.task_ends.get(task) else {
+            return;
+        };
+        let mut candidates: Vec<(&ClientId, &Client)> = self
+            .connections
+            .iter()
+            .filter(|(id, client)| {
+                client.is_client && !client.conn.is_closing() && !end.was_sent_on(**id)
+            })
+            .collect();
+        candidates.sort_by_key(|(id, client)| Reverse((likelihood_of_delivery(client), **id)));
+        // One that has closed under the write has been sent nothing.
+        let sent_on: Vec<ClientId> = candidates
+            .into_iter()
+            .filter(|(_, client)| client.conn.send(now, &end.bytes))
+            .map(|(id, _)| *id)
+            .take(end.connections_per_round())
+            .collect();
+        log_delivery(task, end.is_resend(), &sent_on);
+        self.task_ends.record_round(now, task, sent_on);
+    }
+}
+
+/// Orders connections by how likely an end is read there. One that has acknowledged ends is a client's and is read; one
+/// that has left an end unacknowledged comes last. Of the others, one on which a task was placed is no load balancer's,
+/// and the one that sent last is the least likely to be closing under our hands.
+fn likelihood_of_delivery(client: &Client) -> impl Ord + use<> {
+    (
+        client.acknowledges_ends != Some(false),
+        client.acknowledges_ends == Some(true),
+        client.conn.is_flushed(),
+        client.is_proven,
+        !client.pending_responses.is_empty(),
+        client.last_message_at,
+    )
+}
+
+fn log_delivery(task: TaskId, is_resend: bool, sent_on: &[ClientId]) {
+    let Some(first) = sent_on.first() else {
+        return info!(task = %task, resent = is_resend, "task end waits for a client");
+    };
+    info!(task = %task, connection = %first, connections = sent_on.len(), resent = is_resend, "task end sent");
 }
--- a/src/net/dispatch/client_messages.rs
+++ b/src/net/dispatch/client_messages.rs
@@ -122,7 +122,7 @@
                 self.clients.send(now, client, &message);
                 self.handle_lifecycle_event(now, lifecycle::Event::Checked);
             }
-            ClientMessage::ReleaseAck => self.clients.task_end_acknowledged(id),
+            ClientMessage::ReleaseAck => self.clients.task_end_acknowledged(client, id),
             ClientMessage::Other => {
                 let reason = CloseReason::Malformed(Malformed::Field("type"));
                 self.clients.close(client, reason);
--- a/src/net/dispatch/shutdown.rs
+++ b/src/net/dispatch/shutdown.rs
@@ -136,7 +136,8 @@
             return false;
         }
         let has_pending = self.requests.values().any(Request::awaits_response);
-        let is_clear = !has_pending && self.clients.is_flushed();
+        let is_clear =
+            !has_pending && self.clients.is_flushed() && !self.clients.is_delivering_task_ends(now);
         if self.lifecycle.is_shutting_down() {
             return (is_clear && self.clients.is_at_rest(now))
                 || self.lifecycle.exit_is_overdue(now);
--- a/src/net/dispatch/timers.rs
+++ b/src/net/dispatch/timers.rs
@@ -26,6 +26,7 @@
         for timer in self.timer_wheel.due(now) {
             self.fire_timer(now, timer);
         }
+        self.clients.resend_task_ends(now);
         let decisions = self.facade.tick(now);
         self.apply_decisions(now, decisions);
     }
