--- /dev/null
+++ b/tests/endings/host_connections.rs
@@ -0,0 +1,73 @@
+//! Connections to hosts that carry nothing more while tasks run there.
+//!
+//! What users saw: tasks that had ended at their hosts stayed on clients' books as running. The order of events: a host
+//! has several connections open to the placer; the one that it reports on is reset, is closed for an unreadable answer, or
+//! carries nothing more; the host repeats the ends of tasks on the next connection that opens, and none does. The cause:
+//! only the end of the current connection led to another one, and whether a connection is silent was judged by when the
+//! host was last heard on any. The evidence: with a task running, no connection follows in these tests until an attempt
+//! happens to need one.
+
+use super::*;
+
+/// Starts a task for this client and leaves it running.
+fn run_task(client: &mut Client, connection: &mut HostConnection, id: u64) {
+    client.request_task(id, &request(id));
+    assert_eq!(connection.expect_offer(), hex(id));
+    connection.report_running(&hex(id));
+    assert_eq!(client.expect_message().kind, 9);
+}
+
+/// Reports the end of task 1 on the connection that a host opens to repeat it on, and expects it at the client.
+fn assert_end_is_read_on_a_new_connection(host: &Host, client: &mut Client, limit: Duration) {
+    let mut connection = host.accept_within(limit).expect("another connection");
+    connection.report_ended(&hex(1), 16, "");
+    loop {
+        let message = client.expect_message();
+        if (message.kind, message.id) == (12, 1) {
+            return client.acknowledge_end(1);
+        }
+    }
+}
+
+#[test]
+fn unreadable_answer_on_a_replaced_connection_is_followed_by_a_new_connection() {
+    let (program, _feed, hosts, mut connections) = start_with_hosts(1);
+    let mut client = checked_client(&program);
+    run_task(&mut client, &mut connections[0], 1);
+    client.request_task(2, &request(2));
+    connections[0].expect_offer();
+    // Silence: another connection is made beside the first.
+    let _second = hosts[0].accept();
+
+    connections[0].send_bytes(b"{ not a message }\n");
+    assert!(connections[0].wait_closed());
+
+    assert_end_is_read_on_a_new_connection(&hosts[0], &mut client, Duration::from_secs(1));
+}
+
+#[test]
+fn connection_that_falls_silent_after_a_message_during_an_attempt_is_replaced() {
+    let (program, _feed, hosts, mut connections) = start_with_hosts(1);
+    let mut client = checked_client(&program);
+    run_task(&mut client, &mut connections[0], 1);
+    run_task(&mut client, &mut connections[0], 3);
+    client.request_task(2, &request(2));
+    connections[0].expect_offer();
+
+    // Heard once more while the attempt is in flight, and never again.
+    connections[0].report_ended(&hex(3), 16, "");
+
+    assert_end_is_read_on_a_new_connection(&hosts[0], &mut client, Duration::from_secs(2));
+}
+
+#[test]
+fn silent_connection_of_a_host_with_a_running_task_is_checked_and_replaced() {
+    let (program, _feed, hosts, mut connections) = start_with_hosts(1);
+    let mut client = checked_client(&program);
+    run_task(&mut client, &mut connections[0], 1);
+
+    // Nothing is in flight, and the check of the connection is not answered.
+    connections[0].expect("hb");
+
+    assert_end_is_read_on_a_new_connection(&hosts[0], &mut client, Duration::from_secs(2));
+}
--- a/tests/endings/main.rs
+++ b/tests/endings/main.rs
@@ -5,6 +5,7 @@
 
 mod disconnected_clients;
 mod feed;
+mod host_connections;
 mod hosts;
 mod process;
 mod task_ends;
