Open another connection to a host wherever the ends of its tasks may have been lost

Change: host_closed asks for another connection after any end but an orderly one; the suspicion looks at the connection of the attempt and looks again; connections of hosts with running tasks that are silent for 3 s are checked with the protocol's test of a connection, and end after 1 s without an answer; unconfirmed releases are sent again on each new connection, and one is made after 1 s. unsent_releases is gone: it is read from the requests. Scripted hosts of the tests answer the test of a connection, as the protocol says.

--- a/crates/emulator/src/host.rs
+++ b/crates/emulator/src/host.rs
@@ -5,7 +5,7 @@
 use simd_json::{OwnedValue, json};
 use std::io::{BufRead, BufReader, ErrorKind, Write};
 use std::net::{Shutdown, TcpListener, TcpStream};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// A connection that is not up by then will not come up.
 const UNREACHABLE_TIMEOUT: Duration = Duration::from_millis(100);
@@ -122,12 +122,39 @@
 }
 
 impl HostConnection {
-    /// Reads the next message; none if there is none within the limit.
+    /// Reads the next message; none if there is none within the limit. Checks of the connection are answered, as by any
+    /// host, and not returned.
     ///
     /// # Panics
     ///
     /// If the socket cannot be set up, or what comes is no message.
     pub fn read_within(&mut self, limit: Duration) -> Option<OwnedValue> {
+        let end = Instant::now() + limit;
+        loop {
+            // A limit of zero would wait for ever.
+            let rest = end.saturating_duration_since(Instant::now());
+            let message = self.read_any_within(rest.max(Duration::from_millis(1)))?;
+            if message.get_str("t") != Some("hb") {
+                return Some(message);
+            }
+            let id = message.get_str("ref").unwrap_or_default();
+            let answer = json!({ "t": "hb_ok", "ref": id, "f": {}, "c": 1 });
+            // The placer may have closed the connection meanwhile.
+            let _ = writeln!(self.reader.get_ref(), "{}", answer.encode());
+        }
+    }
+
+    /// Waits for a check of the connection, and leaves it unanswered.
+    ///
+    /// # Panics
+    ///
+    /// If another message comes, or none in time.
+    pub fn ignore_check(&mut self) {
+        let message = self.read_any_within(TEST_TIMEOUT).expect("a check");
+        assert_eq!(message.get_str("t"), Some("hb"), "{message}");
+    }
+
+    fn read_any_within(&mut self, limit: Duration) -> Option<OwnedValue> {
         self.reader
             .get_ref()
             .set_read_timeout(Some(limit))
--- a/src/net/codec/lines.rs
+++ b/src/net/codec/lines.rs
@@ -6,6 +6,8 @@
 use task_placer::settings::parse_number;
 use task_placer::{OutcomeDetail, TaskReport};
 
+/// The id in checks of a connection, which are about no task. Hosts take a message with the id 0 for broken.
+const CHECK_ID: TaskId = TaskId(u64::MAX);
 /// Hex digits of a task's id.
 const TASK_ID_DIGITS: usize = 16;
 
@@ -129,6 +131,11 @@
     line(&json!({ "t": "down", "ref": task.to_string(), "f": {}, "c": cause.0 }).into())
 }
 
+/// Encodes a check of the connection ("hb" on the wire), which the host answers at once.
+pub fn connection_check() -> Vec<u8> {
+    line(&json!({ "t": "hb", "ref": CHECK_ID.to_string(), "f": {}, "c": 0 }).into())
+}
+
 /// Encodes the acknowledgement of a host's release ("ack" on the wire).
 pub fn release_ack(task: TaskId) -> Vec<u8> {
     line(&json!({ "t": "ack", "ref": task.to_string(), "f": {} }).into())
--- a/src/net/conn.rs
+++ b/src/net/conn.rs
@@ -74,6 +74,10 @@
     has_progressed: Cell<bool>,
     /// Since when part of a message waits for its rest.
     partial_since: Cell<Option<Instant>>,
+    /// When something last arrived, or the connection came up.
+    last_received_at: Cell<Instant>,
+    /// Since when the answer to a check of the connection is awaited.
+    check_sent_at: Cell<Option<Instant>>,
     /// Why it is closing, if it is.
     close_reason: Cell<Option<CloseReason>>,
     /// Wakes the task that runs it.
@@ -91,6 +95,8 @@
             stalled_since: Cell::new(0),
             has_progressed: Cell::new(false),
             partial_since: Cell::new(None),
+            last_received_at: Cell::new(Instant::now()),
+            check_sent_at: Cell::new(None),
             close_reason: Cell::new(None),
             wake: async_channel::bounded(1),
         }
@@ -214,6 +220,24 @@
         }
     }
 
+    /// Returns for how long nothing has arrived.
+    pub fn silent_for(&self) -> Duration {
+        self.last_received_at.get().elapsed()
+    }
+
+    /// Sends a message that the peer answers at once, unless the answer to an earlier one is awaited.
+    pub fn send_check(&self, now: Micros, message: &[u8]) {
+        if self.check_sent_at.get().is_none() && self.send(now, message) {
+            self.check_sent_at.set(Some(Instant::now()));
+        }
+    }
+
+    /// Whether a check was sent longer ago than `timeout`, and nothing has arrived since.
+    pub fn check_failed(&self, timeout: Duration) -> bool {
+        let sent_at = self.check_sent_at.get();
+        sent_at.is_some_and(|at| at.elapsed() > timeout)
+    }
+
     /// Reads and writes until it ends. `consume` removes whole messages from what has arrived. Guards what a peer sent
     /// before it closed against a write that fails first: an answer may be among it.
     pub async fn run(
@@ -274,6 +298,8 @@
     fn read_now(&self, inbox: &mut Vec<u8>) -> io::Result<usize> {
         READ_BUFFER.with_borrow_mut(|buffer| {
             let count = self.stream.get_ref().read(buffer)?;
+            self.last_received_at.set(Instant::now());
+            self.check_sent_at.set(None);
             inbox.extend_from_slice(buffer.get(..count).unwrap_or_default());
             Ok(count)
         })
--- a/src/net/dispatch/attempts.rs
+++ b/src/net/dispatch/attempts.rs
@@ -4,6 +4,7 @@
 //! host, and never sends a response to a client.
 
 use super::connection_slots::ConnectionUse;
+use super::host_connections::SILENCE_TIMEOUT;
 use super::request::RequestState;
 use super::timer_event::TimerEvent;
 use super::{Dispatch, MILLISECOND};
@@ -15,9 +16,6 @@
 use task_placer::health::Event;
 use task_placer::{HostId, Micros, Outcome, OutcomeDetail};
 
-/// How long an attempt may be in flight on a connection on which nothing arrives.
-const SILENCE_TIMEOUT: Micros = 1_000 * MILLISECOND;
-
 /// What became of a pending attempt that was considered for sending.
 enum SendResult {
     /// It has been sent, or has ended already.
--- a/src/net/dispatch/connection_slots.rs
+++ b/src/net/dispatch/connection_slots.rs
@@ -58,7 +58,7 @@
         let link = self.hosts.get(host)?;
         let is_second = match &link.connection {
             ConnectionState::Connecting(_) => return None,
-            ConnectionState::Connected(_) if !link.is_suspect => return None,
+            ConnectionState::Connected(_) if !link.wants_second_connection() => return None,
             ConnectionState::Connected(_) => true,
             ConnectionState::Disconnected => false,
         };
@@ -66,7 +66,7 @@
             Some(ConnectPurpose::SendAttempt)
         } else if link.state == EndpointState::Removed {
             None
-        } else if !link.unsent_releases.is_empty() || is_second {
+        } else if is_second || self.has_unconfirmed_releases(host) {
             Some(ConnectPurpose::ReportRelease)
         } else if self.request_index.has_running_tasks(host) {
             Some(ConnectPurpose::ReadTaskEnds)
--- a/src/net/dispatch/host_connections.rs
+++ b/src/net/dispatch/host_connections.rs
@@ -6,7 +6,7 @@
 use super::timer_event::TimerEvent;
 use super::{Dispatch, MILLISECOND};
 use crate::net::codec::TaskId;
-use crate::net::codec::lines::HostMessage;
+use crate::net::codec::lines::{self, HostMessage};
 use crate::net::conn::{CloseReason, Connection, MAX_WRITE_STALL};
 use crate::net::hosts::{
     self, ConnectError, ConnectOutcome, ConnectionId, ConnectionState, HostEvents, HostLink,
@@ -31,6 +31,13 @@
 const HOST_SILENCE_TIMEOUT: Micros = 7_700 * MILLISECOND;
 /// Replaced connections to a host that are kept open.
 const MAX_REPLACED_CONNECTIONS: usize = 3;
+/// How long an attempt may be in flight on a connection on which nothing arrives.
+pub(super) const SILENCE_TIMEOUT: Micros = 1_000 * MILLISECOND;
+/// How long nothing may arrive on a connection of a host with running tasks until the connection is checked, and how long
+/// the answer may take. Both, a sweep, and the way of an end to its client are to fit into the 8 s in which clients are
+/// notified (the protocol's figure).
+const CHECK_AFTER_SILENCE: Duration = Duration::from_secs(3);
+const CHECK_TIMEOUT: Duration = Duration::from_secs(1);
 /// How long a host with running tasks is left without a connection.
 ///
 /// It reports their ends on one only, and clients are to be notified within 8 s (the protocol's figure): of these the
@@ -51,11 +58,18 @@
         if !link.is_connecting(id) {
             return ConnectOutcome::NotWanted;
         }
-        link.unsent_releases.retain(|line| !conn.send(now, line));
         link.connection = ConnectionState::Connected(conn);
         link.connect_failures = 0;
         link.unreachable_since = None;
         link.last_message_at = now;
+        info!(
+            peer = "host",
+            host = &*host.0,
+            connection = id,
+            replaced = link.replaced.len(),
+            "connection opened"
+        );
+        self.send_unconfirmed_releases(now, host);
         self.send_pending_attempts(now, host);
         ConnectOutcome::InUse
     }
@@ -123,6 +137,8 @@
             {
                 self.request_connection(now, host);
             }
+        } else if !matches!(reason, CloseReason::Closed | CloseReason::Replaced) {
+            self.request_repeated_ends(now, host);
         }
         for ticket in cut {
             let event = self.end_attempt(now, ticket, Outcome::Reset, OutcomeDetail::Unknown);
@@ -161,6 +177,7 @@
             link.replaced.push((link.connection_id, conn));
         }
         link.is_suspect = false;
+        link.needs_repeated_ends = false;
         link.connection_id += 1;
         link.last_connect_at = now;
         let id = link.connection_id;
@@ -278,16 +295,34 @@
         }
     }
 
-    /// Suspects the host of an attempt in flight if nothing has arrived from it since.
+    /// Makes another connection beside the one that is up, if tasks run at the host.
     ///
-    /// Guards against a machine that vanished: its connection stays open and silent. Another is made beside it, so that
-    /// later attempts don't vanish too; where none comes up either, the tasks there are lost. Attempts stay in flight on
-    /// the silent one.
+    /// Guards against ends of tasks that were under way on a connection which broke: the host repeats them on the next
+    /// connection that opens, whichever of its connections they were lost with.
+    fn request_repeated_ends(&mut self, now: Micros, host: &HostId) {
+        if !self.request_index.has_running_tasks(host) {
+            return;
+        }
+        let Some(link) = self.hosts.get_mut(host) else {
+            return;
+        };
+        // A connection that is being made serves as well.
+        if let ConnectionState::Connected(_) = &link.connection {
+            link.needs_repeated_ends = true;
+            self.request_connection(now, host);
+        }
+    }
+
+    /// Suspects the host of an attempt in flight if nothing has arrived on its connection for a while.
+    ///
+    /// Guards against a machine that vanished, and a connection that carries nothing more: it stays open and silent.
+    /// Another is made beside it, so that later attempts don't vanish too; where none comes up either, the tasks there are
+    /// lost. Attempts stay in flight on the silent one. It is the connection that is looked at: the host may still be heard
+    /// on another.
     pub(super) fn suspect_silent_host(&mut self, now: Micros, ticket: Ticket, attempt: u32) {
         let Some(RequestState::InFlight {
             attempt: current,
             host,
-            since,
             sent_on,
             ..
         }) = self.requests.get(&ticket).map(|request| &request.state)
@@ -298,9 +333,39 @@
         let Some(link) = self.hosts.get(&host) else {
             return;
         };
-        let is_on_current = *sent_on == Some(link.connection_id);
-        if *current == attempt && is_on_current && link.last_message_at < *since {
-            self.suspect_host(now, &host);
+        let ConnectionState::Connected(conn) = &link.connection else {
+            return;
+        };
+        if *current != attempt || *sent_on != Some(link.connection_id) {
+            return;
+        }
+        let silence = micros(conn.silent_for());
+        if silence >= SILENCE_TIMEOUT {
+            return self.suspect_host(now, &host);
+        }
+        let timer = TimerEvent::SilenceCheck(ticket, attempt);
+        self.timer_wheel.add(now + SILENCE_TIMEOUT - silence, timer);
+    }
+
+    /// Checks the connections of hosts with running tasks on which nothing has arrived for a while, and closes those that
+    /// did not answer.
+    ///
+    /// Guards the ends of tasks against connections that stay open and carry nothing more, where no attempt is in flight
+    /// that would show it. The protocol's test tells only that the connection works: it asks the host for nothing.
+    fn check_silent_connections(&self, now: Micros) {
+        for host in self.request_index.hosts_with_running_tasks() {
+            let Some(link) = self.hosts.get(host) else {
+                continue;
+            };
+            for (id, conn) in link.numbered_connections() {
+                if conn.check_failed(CHECK_TIMEOUT) {
+                    if !self.has_attempt_in_flight_on(host, id) {
+                        conn.close(CloseReason::Silent);
+                    }
+                } else if conn.silent_for() >= CHECK_AFTER_SILENCE {
+                    conn.send_check(now, &lines::connection_check());
+                }
+            }
         }
     }
 
@@ -317,6 +382,7 @@
             }
             self.close_surplus_replaced(host, link);
         }
+        self.check_silent_connections(now);
         let mut to_connect: Vec<HostId> = self
             .request_index
             .hosts_with_running_tasks()
@@ -366,3 +432,7 @@
         request.state.in_flight_on()
     }
 }
+
+fn micros(duration: Duration) -> Micros {
+    Micros::try_from(duration.as_micros()).unwrap_or(Micros::MAX)
+}
--- a/src/net/dispatch/request.rs
+++ b/src/net/dispatch/request.rs
@@ -41,6 +41,8 @@
         host: HostId,
         /// When its start was reported here.
         since: Micros,
+        /// The cause that its client gave.
+        cause: Cause,
     },
 }
 
--- a/src/net/dispatch/running_tasks.rs
+++ b/src/net/dispatch/running_tasks.rs
@@ -8,13 +8,15 @@
 use super::{Dispatch, MILLISECOND};
 use crate::net::clients::ClientId;
 use crate::net::codec::{Cause, TaskId, TaskRequest, binary, lines};
-use crate::net::hosts::ConnectionState;
+use crate::net::hosts::HostLink;
 use task_placer::facade::{PlacementEvent, RequestKind, Ticket};
 use task_placer::{EndpointState, HostId, Micros, Outcome, OutcomeDetail};
 use tracing::info;
 
 /// How long a host may take to confirm a release.
 const RELEASE_TIMEOUT: Micros = 3_000 * MILLISECOND;
+/// How long it may take until the release is sent again on another connection.
+const RELEASE_RESEND_TIMEOUT: Micros = 1_000 * MILLISECOND;
 /// How late the endpoint list may name the host of an adopted task.
 const UNKNOWN_HOST_TIMEOUT: Micros = 2_000 * MILLISECOND;
 /// How long a response may be on its way to its client.
@@ -144,19 +146,53 @@
             attempt: *attempt,
             host: host.clone(),
             since: *since,
+            cause,
         };
-        let mut is_sent = true;
-        if let Some(link) = self.hosts.get_mut(&host) {
-            is_sent = matches!(&link.connection, ConnectionState::Connected(conn) if conn.send(now, &line));
-            if !is_sent {
-                link.unsent_releases.push(line);
-            }
+        if let Some(conn) = self.hosts.get(&host).and_then(HostLink::current_connection) {
+            conn.send(now, &line);
         }
         self.set_request_state(ticket, state);
+        self.timer_wheel.add(
+            now + RELEASE_RESEND_TIMEOUT,
+            TimerEvent::ReleaseCheck(ticket),
+        );
         self.timer_wheel
             .add(now + RELEASE_TIMEOUT, TimerEvent::ReleaseTimeout(ticket));
-        if !is_sent {
-            self.request_connection(now, &host);
+        self.request_connection(now, &host);
+    }
+
+    /// Sends the releases again that a host has not confirmed, on a connection that has just come up. Guards against a
+    /// release that was lost with the connection before, or found none.
+    pub(super) fn send_unconfirmed_releases(&self, now: Micros, host: &HostId) {
+        let Some(conn) = self.hosts.get(host).and_then(HostLink::current_connection) else {
+            return;
+        };
+        for (id, cause) in self.unconfirmed_releases(host) {
+            conn.send(now, &lines::release(id, cause));
+        }
+    }
+
+    /// Whether a host has releases to confirm.
+    pub(super) fn has_unconfirmed_releases(&self, host: &HostId) -> bool {
+        self.unconfirmed_releases(host).next().is_some()
+    }
+
+    fn unconfirmed_releases(&self, host: &HostId) -> impl Iterator<Item = (TaskId, Cause)> + '_ {
+        self.request_index
+            .running(host)
+            .filter_map(|ticket| self.requests.get(&ticket))
+            .filter_map(|request| match request.state {
+                RequestState::Releasing { cause, .. } => Some((request.id, cause)),
+                _ => None,
+            })
+    }
+
+    /// Makes another connection to a host that has not confirmed a release yet: the release is sent again on it.
+    pub(super) fn resend_unconfirmed_release(&mut self, now: Micros, ticket: Ticket) {
+        let state = self.requests.get(&ticket).map(|request| &request.state);
+        if let Some(RequestState::Releasing { host, .. }) = state {
+            let host = host.clone();
+            self.suspect_host(now, &host);
         }
     }
 
@@ -219,6 +255,7 @@
                 attempt,
                 host,
                 since,
+                ..
             } => (attempt, host, since, Outcome::Cancelled),
             RequestState::Queued | RequestState::InFlight { .. } => return,
         };
--- a/src/net/dispatch/timer_event.rs
+++ b/src/net/dispatch/timer_event.rs
@@ -23,6 +23,8 @@
     HostUnreachable(HostId, Micros),
     /// The host has had its time to close an evicted connection.
     EvictionTimeout(HostId, ConnectionId),
+    /// A release that the host has not confirmed is to be sent again.
+    ReleaseCheck(Ticket),
     /// The host has had its time to confirm a release.
     ReleaseTimeout(Ticket),
     /// The endpoint list has had its time to name the host of an adopted task.
--- a/src/net/dispatch/timers.rs
+++ b/src/net/dispatch/timers.rs
@@ -55,6 +55,7 @@
                 self.end_unreachable_tasks(now, &host, since);
             }
             TimerEvent::EvictionTimeout(host, id) => self.close_evicted_connection(&host, id),
+            TimerEvent::ReleaseCheck(ticket) => self.resend_unconfirmed_release(now, ticket),
             TimerEvent::ReleaseTimeout(ticket) => self.end_unconfirmed_release(now, ticket),
             TimerEvent::UnknownHostTimeout(ticket) => self.end_task_at_unknown_host(now, ticket),
             TimerEvent::Sweep => self.sweep(now),
--- a/src/net/hosts.rs
+++ b/src/net/hosts.rs
@@ -111,13 +111,14 @@
     pub last_connect_at: Micros,
     /// When the last connection ended.
     pub last_closed_at: Micros,
-    /// Another connection is to be made beside the one that is up.
+    /// Another connection is to be made beside the one that is up, unless the host is heard before.
     pub is_suspect: bool,
+    /// Another connection is to be made in any case: a host repeats the ends of tasks on the next one that opens, and some
+    /// may have been lost.
+    pub needs_repeated_ends: bool,
     /// Attempts of which nothing has been sent: they wait for the connection, for what is queued on it, or for unread
     /// input of their clients.
     pub pending_attempts: Vec<PendingAttempt>,
-    /// Releases of tasks that run there, for the next connection.
-    pub unsent_releases: Vec<Vec<u8>>,
     /// Connects that have failed in a row.
     pub connect_failures: u32,
     /// When the first of them failed.
@@ -147,8 +148,8 @@
             last_connect_at: 0,
             last_closed_at: 0,
             is_suspect: false,
+            needs_repeated_ends: false,
             pending_attempts: Vec::new(),
-            unsent_releases: Vec::new(),
             connect_failures: 0,
             unreachable_since: None,
             tasks_lost_at: None,
@@ -161,6 +162,14 @@
         self.connection_id == id && matches!(self.connection, ConnectionState::Connecting(_))
     }
 
+    /// Returns the current connection, if it is up.
+    pub fn current_connection(&self) -> Option<&Rc<Connection>> {
+        match &self.connection {
+            ConnectionState::Connected(conn) => Some(conn),
+            ConnectionState::Disconnected | ConnectionState::Connecting(_) => None,
+        }
+    }
+
     /// Returns the connection of this id, if it is open.
     pub fn open_connection(&self, id: ConnectionId) -> Option<&Rc<Connection>> {
         match &self.connection {
@@ -172,15 +181,22 @@
         }
     }
 
+    /// Whether a connection beside the one that is up is wanted.
+    pub fn wants_second_connection(&self) -> bool {
+        self.is_suspect || self.needs_repeated_ends
+    }
+
+    /// Returns all open connections with their ids.
+    pub fn numbered_connections(&self) -> impl Iterator<Item = (ConnectionId, &Rc<Connection>)> {
+        let current = self.current_connection();
+        let current = current.map(|conn| (self.connection_id, conn));
+        let replaced = self.replaced.iter().map(|(id, conn)| (*id, conn));
+        current.into_iter().chain(replaced)
+    }
+
     /// Returns all open connections.
     pub fn connections(&self) -> impl Iterator<Item = &Rc<Connection>> {
-        let current = match &self.connection {
-            ConnectionState::Connected(conn) => Some(conn),
-            ConnectionState::Disconnected | ConnectionState::Connecting(_) => None,
-        };
-        current
-            .into_iter()
-            .chain(self.replaced.iter().map(|(_, conn)| conn))
+        self.numbered_connections().map(|(_, conn)| conn)
     }
 
     /// Closes all open connections.
--- a/tests/endings/host_connections.rs
+++ b/tests/endings/host_connections.rs
@@ -67,7 +67,28 @@
     run_task(&mut client, &mut connections[0], 1);
 
     // Nothing is in flight, and the check of the connection is not answered.
-    connections[0].expect("hb");
+    connections[0].ignore_check();
 
     assert_end_is_read_on_a_new_connection(&hosts[0], &mut client, Duration::from_secs(2));
 }
+
+#[test]
+fn release_that_a_host_has_not_confirmed_is_sent_again_on_the_next_connection() {
+    let (program, _feed, hosts, mut connections) = start_with_hosts(1);
+    let mut client = checked_client(&program);
+    run_task(&mut client, &mut connections[0], 1);
+    client.release(1, 31);
+    connections[0].expect("down");
+
+    // The host is gone before it has read the release, and comes back with the task.
+    connections.remove(0).close();
+
+    let mut connection = hosts[0].accept();
+    let release = connection.expect("down");
+    assert_eq!(
+        (release.get_str("ref"), release.get_u64("c")),
+        (Some(hex(1).as_str()), Some(31))
+    );
+    connection.report_ended(&hex(1), 31, "");
+    connection.expect("ack");
+}
