Count spans by the monotonic clock alone; convert listed start times when they arrive

Change: the clock starts at the Unix time and then follows the monotonic clock only. A start that the endpoint list states is converted once, by the reading under which it is the youngest.

--- a/src/net/dispatch/endpoint_updates.rs
+++ b/src/net/dispatch/endpoint_updates.rs
@@ -124,7 +124,11 @@
             .hosts
             .entry(host.clone())
             .or_insert_with(|| HostLink::new(&discovered));
-        let DiscoveredEndpoint { endpoint, address } = discovered;
+        let DiscoveredEndpoint {
+            mut endpoint,
+            address,
+        } = discovered;
+        endpoint.started_at = link.local_start(endpoint.started_at, &self.clock);
         self.active_hosts += usize::from(endpoint.state != EndpointState::Removed);
         self.active_hosts -= usize::from(state_before != EndpointState::Removed);
         if endpoint.state != EndpointState::Up || link.started_at != endpoint.started_at {
--- a/src/net/hosts.rs
+++ b/src/net/hosts.rs
@@ -2,6 +2,7 @@
 //! happens on a connection goes to whoever implements [`HostEvents`], and so does every decision on it.
 
 use super::clients::ReadMark;
+use super::clock::Clock;
 use super::codec::feed::DiscoveredEndpoint;
 use super::codec::lines::HostMessage;
 use super::codec::{MAX_MESSAGE_BYTES, TaskId, lines, next_line};
@@ -97,8 +98,10 @@
     pub free_resources: Resources,
     /// When it last rejected an attempt because it is full, if it has not started a task since.
     pub rejected_full_at: Option<Micros>,
-    /// When its process started, or 0.
+    /// When its process started, by this process's clock, or 0.
     pub started_at: Micros,
+    /// The same as the endpoint list states it, in Unix time.
+    pub listed_start: Micros,
     /// The current connection.
     pub connection: ConnectionState,
     /// The id of the latest connection.
@@ -139,7 +142,8 @@
             cell: endpoint.cell,
             zone: endpoint.zone,
             free_resources: endpoint.free(),
-            started_at: endpoint.started_at,
+            started_at: 0,
+            listed_start: 0,
             rejected_full_at: None,
             connection: ConnectionState::Disconnected,
             connection_id: 0,
@@ -157,6 +161,19 @@
         }
     }
 
+    /// Returns the start of its process by this process's clock. It is converted once for each start that the endpoint list
+    /// states: a step of the system's clock later on makes no other process of it.
+    pub fn local_start(&mut self, listed_start: Micros, clock: &Clock) -> Micros {
+        if self.listed_start == listed_start {
+            return self.started_at;
+        }
+        self.listed_start = listed_start;
+        if listed_start == 0 {
+            return 0;
+        }
+        clock.convert_unix(listed_start)
+    }
+
     /// Whether the connection of this id is being made.
     pub fn is_connecting(&self, id: ConnectionId) -> bool {
         self.connection_id == id && matches!(self.connection, ConnectionState::Connecting(_))
--- a/src/overload/health_check_schedule.rs
+++ b/src/overload/health_check_schedule.rs
@@ -7,7 +7,7 @@
 //! at any moment, and every group gets its slot in each round, so a group whose placers are down costs one
 //! slot. No messages are exchanged: a placer knows only its index and the number of placers.
 //!
-//! The clock is the wall clock, slewed where the system's is stepped (`net::clock`). If the clocks of two
+//! The clock is the wall clock as it was at the start of the process, advanced evenly (`net::clock`). If the clocks of two
 //! placers differ by up to a slot, two groups may overlap, and the limit is then twice `concurrent_placers`.
 
 use crate::Micros;
