Failing test: a task that its host sent away before its answer arrived

The log of tasks that is added here shows for every reported request 'attempt ended outcome=Reset detail=Drained' 1.03 s before the report, and 'task started' at another host within 0.1 s. Measured: the test fails on this commit: the client is told 42 after 6 s, where 41 at once is due.

--- a/src/net/dispatch/attempts.rs
+++ b/src/net/dispatch/attempts.rs
@@ -15,6 +15,7 @@
 use task_placer::facade::{PlacementEvent, Ticket};
 use task_placer::health::Event;
 use task_placer::{HostId, Micros, Outcome, OutcomeDetail};
+use tracing::{debug, info};
 
 /// What became of a pending attempt that was considered for sending.
 enum SendResult {
@@ -159,6 +160,7 @@
                 if !conn.send(now, &line) {
                     return still_pending(None);
                 }
+                debug!(task = %request.id, host = &*host.0, connection = link.connection_id, attempt = pending.attempt, "attempt sent");
                 self.counters.record_attempt(request.class);
                 *sent_on = Some(link.connection_id);
                 let timer = TimerEvent::SilenceCheck(pending.ticket, pending.attempt);
@@ -189,6 +191,7 @@
         };
         let (attempt, host, elapsed) = (*attempt, host.clone(), now - since);
         let relative_duration = elapsed as f64 / request.latency_objective as f64;
+        info!(task = %request.id, host = &*host.0, attempt, ?outcome, ?detail, elapsed_ms = elapsed / MILLISECOND, "attempt ended");
         self.set_request_state(ticket, RequestState::Queued);
         self.update_priorities(now, &host, ConnectionUse::Unchanged);
         // What its client cancelled says nothing about the host.
--- a/src/net/dispatch/host_messages.rs
+++ b/src/net/dispatch/host_messages.rs
@@ -2,16 +2,17 @@
 //! is in flight at that host or the task that runs there. It never passes on a late message about an abandoned attempt,
 //! and never decides what follows: the decision module does.
 
-use super::Dispatch;
 use super::connection_slots::ConnectionUse;
 use super::request::{Assignment, EndedTask, HostRelease, RequestState};
 use super::responses::StartedTask;
+use super::{Dispatch, MILLISECOND};
 use crate::net::codec::lines::{self, HostMessage};
 use crate::net::codec::{Cause, TaskId};
 use crate::net::hosts::ConnectionState;
 use task_placer::facade::{PlacementEvent, Ticket};
 use task_placer::health::Event;
 use task_placer::{HostId, Micros, Outcome, OutcomeDetail};
+use tracing::info;
 
 impl Dispatch {
     /// Handles a message of a host.
@@ -119,6 +120,7 @@
             return;
         };
         let (attempt, host, elapsed) = (*attempt, host.clone(), now - since);
+        info!(task = %request.id, host = &*host.0, attempt, elapsed_ms = elapsed / MILLISECOND, "task started");
         request.message = None;
         let relative_duration = elapsed as f64 / request.latency_objective as f64;
         let in_aim = now - request.arrived_at <= request.latency_objective;
--- a/src/net/dispatch/running_tasks.rs
+++ b/src/net/dispatch/running_tasks.rs
@@ -50,6 +50,7 @@
             since: now,
         };
         let ticket = self.insert_request(now, id, client, &message.placement.class, state);
+        info!(task = %id, host = &*host.0, connection = %client, "task adopted");
         self.assign_running_task(ticket, client);
         if self.hosts.contains_key(host) {
             self.clients.mark_proven(client);
@@ -259,6 +260,7 @@
             } => (attempt, host, since, Outcome::Cancelled),
             RequestState::Queued | RequestState::InFlight { .. } => return,
         };
+        info!(task = %request.id, host = &*host.0, cause = cause.0, ?detail, ran_ms = (now - since) / MILLISECOND, "task ended");
         let event = PlacementEvent::AttemptEnded {
             ticket,
             attempt,
--- a/tests/endings/task_ends.rs
+++ b/tests/endings/task_ends.rs
@@ -53,3 +53,29 @@
     let delivery_time = released_at.elapsed();
     assert!(delivery_time < MAX_DELIVERY_TIME, "{delivery_time:?}");
 }
+
+// What users saw: during a release of the hosts, a task was reported as placed, although it was the second run of a request
+// whose first run was over already, and nobody had been told of that. The order of events: a host starts the task; its
+// answer is lost or late; the host drains and sends the task away; the placer reads only that. The cause: any release with
+// cause 41 before the answer was taken for an attempt that had broken on its way, and the request was sent to another host.
+// The evidence: `attempt ended outcome=Reset detail=Drained` and `task started` at another host 0.1 s later, for each
+// request that was reported; the note of such a release names what only happens to a task that runs.
+#[test]
+fn task_that_its_host_sent_away_before_its_answer_arrived_is_over_for_its_client() {
+    for note in ["dr", "ev", "pre"] {
+        let (program, _feed, _hosts, mut connections) = start_with_hosts(2);
+        let mut client = checked_client(&program);
+        client.request_task(1, &request(1));
+        let (at, id) = next_offer(&mut connections);
+
+        connections[at].report_ended(&id, 41, note);
+
+        let end = client.expect_message();
+        assert_eq!((end.kind, end.id, end.cause()), (12, 1, 41), "{note}");
+        assert_eq!(
+            offers_until_last(&program, &[], &mut connections),
+            NO_OFFERS,
+            "{note}"
+        );
+    }
+}
