Notify the client when a task's host sent it away before its answer arrived

Cause: attempt_released took every release with cause 41 before the answer for an attempt that broke on its way, and the request was sent to another host. With the notes ev, pre and dr the task has run at this host, which hands one that does not run yet back as full (cause 34); its answer was lost or is late. Its client is owed the end within 1 s. Change: such a release ends the request with cause 41 towards its client, and no other attempt begins. Class: an end that the protocol implies by other means than the pair of answer and release.

--- a/src/net/dispatch/host_messages.rs
+++ b/src/net/dispatch/host_messages.rs
@@ -71,6 +71,9 @@
             HostMessage::Released(Cause::NORMAL, detail) => {
                 self.attempt_completed(now, ticket, detail);
             }
+            HostMessage::Released(Cause::RESET, detail) if detail.implies_task_ran() => {
+                self.attempt_ended_after_start(now, ticket, detail);
+            }
             HostMessage::Released(cause, detail) => {
                 self.attempt_released(now, ticket, host, cause, detail);
             }
@@ -196,6 +199,16 @@
         self.report_event(now, event);
     }
 
+    /// The task has run at this host and is over, though its start was not heard of: the answer was lost or is late. Its
+    /// client is notified of the end like that of any running task, and comes again by itself. Guards against another
+    /// attempt: the end that is due to the client would never be sent.
+    fn attempt_ended_after_start(&mut self, now: Micros, ticket: Ticket, detail: OutcomeDetail) {
+        let event = self.end_attempt(now, ticket, Outcome::Reset, detail);
+        self.respond_unplaced(now, ticket, Cause::RESET, None);
+        self.report_event(now, PlacementEvent::Cancelled(ticket));
+        self.report_optional_event(now, event);
+    }
+
     /// The host of the attempt in flight does not start the task: the attempt has ended, and the decision module
     /// decides what follows.
     fn attempt_released(
--- a/src/types/attempt.rs
+++ b/src/types/attempt.rs
@@ -52,6 +52,16 @@
     Drained,
 }
 
+impl OutcomeDetail {
+    /// Whether this only happens to a task that runs: a host hands one that does not run yet back as rejected.
+    pub fn implies_task_ran(self) -> bool {
+        matches!(
+            self,
+            OutcomeDetail::Evicted | OutcomeDetail::Preempted | OutcomeDetail::Drained
+        )
+    }
+}
+
 /// The result of one attempt.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct AttemptResult {
