Lose and repeat nothing where requests cross a close; tell local faults apart

Cause, found by holding the code against the terms on closes, on the time until the kill and on system calls: - after its last look the process closed its side, and for 100 ms still read requests and sent them to hosts; their clients send them again elsewhere, so that a task could start twice, and no answer could go out; - at its latest moment it ended with requests pending; with clients that never pause no moment at which all rest need ever come; - connections closed as idle could be read once more, and were reset under what had just been sent; - an accept that failed for a moment at the last look counted as an empty queue; one for an aborted connection evicted an idle client; - a connect that failed at this machine (no port, no buffer, interrupted) or at once counted as silence of the host, and closed its open connections; an unread signal counted as SIGTERM; an interrupted peek counted as nothing unread. Change: nothing is read from a connection after the decision to close it; the peer closes first, for a bounded time. Once all responses are due, connections are closed one by one as they come to rest, and what is pending at the exit is answered as failed. src/net/system_error.rs tells the errors apart. Measured: the new test of the exit fails on the source before (the host gets the offer) and passes now; all tests of the package pass.

--- a/src/net/clients/accept.rs
+++ b/src/net/clients/accept.rs
@@ -5,6 +5,7 @@
 use super::read_summary::ReadSummary;
 use crate::net::codec::binary;
 use crate::net::conn::{CloseReason, Connection};
+use crate::net::system_error::is_out_of_descriptors;
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use futures_lite::future;
@@ -108,17 +109,27 @@
             return false;
         }
         let accepts = self.handler.borrow().accepts_connections();
-        (accepts && self.accept_one().is_ok())
+        (accepts && self.may_have_waiting_connection())
             || !self.handler.borrow().clients().has_no_unread_input()
     }
+
+    /// Accepts a connection that waits, and returns whether there was or may have been one: an accept that failed for a
+    /// moment proves nothing.
+    fn may_have_waiting_connection(&self) -> bool {
+        !matches!(self.accept_one(), Err(error) if error.kind() == ErrorKind::WouldBlock)
+    }
 }
 
 /// At the exit of the process: closes all connections for writing, and gives peers a while to close. Guards against the
 /// reset that exiting with unread input sends: it can take a response along that was written, and not read yet.
 pub async fn shutdown_connections<H: ClientEvents>(handler: &Rc<RefCell<H>>) {
-    handler.borrow().clients().shutdown_writes();
+    handler.borrow().clients().shutdown_unread();
     for _ in 0..MAX_SHUTDOWN_CHECKS {
-        if handler.borrow().clients().connections.is_empty() {
+        let is_closed = {
+            let handler = handler.borrow();
+            handler.clients().connections.is_empty() && handler.clients().shutting_down == 0
+        };
+        if is_closed {
             return;
         }
         Timer::after(SHUTDOWN_CHECK_INTERVAL).await;
@@ -147,16 +158,44 @@
     }
 }
 
-/// What every listener does where accepting fails: evicts an idle connection of a client for the next, or waits a little
-/// where there is none.
+/// What every listener does where accepting fails: if no descriptor is left, it evicts an idle connection of a client for
+/// the next, or waits a little where there is none. Other failures concern one connection that has ended already, or pass.
 pub async fn pause_after_accept_error<H: ClientEvents>(
     handler: &Rc<RefCell<H>>,
     error: &io::Error,
 ) {
     let now = handler.borrow().now();
-    warn!(reason = %error.kind(), "accept failed");
-    if handler.borrow().clients().evict_idle(now, 1) == 0 {
-        Timer::after(ACCEPT_RETRY_PAUSE).await;
+    warn!(reason = %error.kind(), code = error.raw_os_error(), "accept failed");
+    let fault = AcceptFault::of(error);
+    if fault == AcceptFault::ConnectionEnded {
+        return;
+    }
+    if fault == AcceptFault::NoDescriptor && handler.borrow().clients().evict_idle(now, 1) > 0 {
+        return;
+    }
+    Timer::after(ACCEPT_RETRY_PAUSE).await;
+}
+
+/// What a failed accept is about.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum AcceptFault {
+    /// The connection that waited has ended, or the call was interrupted: the next one may be accepted at once.
+    ConnectionEnded,
+    /// The process or the system has no descriptor left.
+    NoDescriptor,
+    /// The system is out of something for a moment.
+    Temporary,
+}
+
+impl AcceptFault {
+    fn of(error: &io::Error) -> AcceptFault {
+        if is_out_of_descriptors(error) {
+            return AcceptFault::NoDescriptor;
+        }
+        match error.kind() {
+            ErrorKind::ConnectionAborted | ErrorKind::Interrupted => AcceptFault::ConnectionEnded,
+            _ => AcceptFault::Temporary,
+        }
     }
 }
 
@@ -193,9 +232,14 @@
     // Nothing is to be queued on it from here on.
     conn.close(reason);
     handler.borrow_mut().client_closed(id, reason);
-    if matches!(reason, CloseReason::Malformed(_) | CloseReason::IdInUse) {
+    let is_fault = matches!(reason, CloseReason::Malformed(_) | CloseReason::IdInUse);
+    if is_fault || matches!(reason, CloseReason::Draining | CloseReason::Idle) {
         handler.borrow_mut().clients_mut().shutting_down += 1;
-        conn.shutdown_gracefully().await;
+        if is_fault {
+            conn.shutdown_gracefully().await;
+        } else {
+            conn.close_unread().await;
+        }
         handler.borrow_mut().clients_mut().shutting_down -= 1;
     }
 }
--- a/src/net/clients/idle.rs
+++ b/src/net/clients/idle.rs
@@ -36,6 +36,16 @@
         }
     }
 
+    /// Closes the connections on which no response is pending and nothing is partly read, unsent or unread, whatever tasks
+    /// were placed on them.
+    pub fn close_resting(&self, now: Micros) {
+        for client in self.connections.values() {
+            if !client.conn.is_closing() && !client.is_busy(now) {
+                client.conn.close(CloseReason::Draining);
+            }
+        }
+    }
+
     /// Closes connections that are stalled, long idle, or never send a whole message.
     pub fn sweep(&mut self, now: Micros) {
         for client in self.connections.values() {
--- a/src/net/clients/table.rs
+++ b/src/net/clients/table.rs
@@ -246,10 +246,10 @@
         clients.all(|client| client.conn.is_closing() || client.conn.has_no_unread_input())
     }
 
-    /// Closes all connections for writing.
-    pub(super) fn shutdown_writes(&self) {
+    /// Closes all connections for writing, and reads nothing more from them.
+    pub(super) fn shutdown_unread(&self) {
         let clients = self.connections.values();
-        clients.for_each(|client| client.conn.shutdown_write());
+        clients.for_each(|client| client.conn.shutdown_unread());
     }
 
     // ---- Limits ----
--- a/src/net/conn.rs
+++ b/src/net/conn.rs
@@ -27,6 +27,9 @@
 /// How long a connection is read after our end of it.
 const SHUTDOWN_READ_TIMEOUT: Duration = Duration::from_millis(1_000);
 
+/// How often a connection that is not read any more is looked at for the peer's close.
+const UNREAD_CLOSE_CHECK_INTERVAL: Duration = Duration::from_millis(5);
+
 thread_local! {
     /// Where all connections read to. One for each would be the largest part of what an idle connection holds.
     static READ_BUFFER: RefCell<Vec<u8>> = RefCell::new(vec![0; CHUNK_BYTES]);
@@ -80,6 +83,8 @@
     check_sent_at: Cell<Option<Instant>>,
     /// Why it is closing, if it is.
     close_reason: Cell<Option<CloseReason>>,
+    /// Nothing more is read from it.
+    stops_reading: Cell<bool>,
     /// Wakes the task that runs it.
     wake: (Sender<()>, Receiver<()>),
 }
@@ -98,6 +103,7 @@
             last_received_at: Cell::new(Instant::now()),
             check_sent_at: Cell::new(None),
             close_reason: Cell::new(None),
+            stops_reading: Cell::new(false),
             wake: async_channel::bounded(1),
         }
     }
@@ -152,6 +158,13 @@
         let _ = self.stream.get_ref().shutdown(Shutdown::Write);
     }
 
+    /// Closes our side, and reads nothing more. Guards against requests that cross the close: one that is read has been
+    /// taken, and one that is left unread is sent again by its client elsewhere.
+    pub fn shutdown_unread(&self) {
+        self.stops_reading.set(true);
+        self.shutdown_write();
+    }
+
     /// Whether it is closing or has failed.
     pub fn is_closing(&self) -> bool {
         self.close_reason.get().is_some()
@@ -167,21 +180,28 @@
     /// Whether nothing waits to be read. Guards a request that has arrived and was not read yet against a close of what
     /// looks idle.
     pub fn has_no_unread_input(&self) -> bool {
-        !matches!(self.stream.get_ref().peek(&mut [0]), Ok(1..))
+        loop {
+            match self.stream.get_ref().peek(&mut [0]) {
+                Ok(count) => return count == 0,
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(_) => return true,
+            }
+        }
     }
 
     /// Returns what waits to be read. A peer that has closed or reset the connection may be gone for long before that is
     /// read: others are read first, and the process may have been stopped.
     pub fn unread(&self) -> Unread {
-        match READ_BUFFER.with_borrow_mut(|buffer| self.stream.get_ref().peek(buffer)) {
-            Ok(0) => Unread::EndOfStream,
-            Ok(count) => Unread::Bytes(count),
-            Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => {
-                Unread::Nothing
-            }
-            Err(e) => {
-                self.close(e.into());
-                Unread::EndOfStream
+        loop {
+            match READ_BUFFER.with_borrow_mut(|buffer| self.stream.get_ref().peek(buffer)) {
+                Ok(0) => return Unread::EndOfStream,
+                Ok(count) => return Unread::Bytes(count),
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return Unread::Nothing,
+                Err(e) => {
+                    self.close(e.into());
+                    return Unread::EndOfStream;
+                }
             }
         }
     }
@@ -263,7 +283,7 @@
         consume: &mut impl FnMut(&mut Vec<u8>) -> Result<(), CloseReason>,
     ) -> CloseReason {
         loop {
-            match self.read_some(inbox).await {
+            match self.read_while_open(inbox).await {
                 Ok(0) => return self.close_reason.get().unwrap_or(CloseReason::Closed),
                 Ok(_) => {}
                 Err(e) => return self.close_reason.get().unwrap_or(e.into()),
@@ -283,6 +303,22 @@
         }
     }
 
+    /// Appends what has arrived, at most a chunk; waits until there is something. Returns zero once the connection is to be
+    /// closed: a request that is read has been taken, so nothing is read from then on.
+    async fn read_while_open(&self, inbox: &mut Vec<u8>) -> io::Result<usize> {
+        loop {
+            self.may_read().await;
+            if self.is_closed_deliberately() {
+                return Ok(0);
+            }
+            match self.read_now(inbox) {
+                Err(e) if e.kind() == ErrorKind::WouldBlock => self.stream.readable().await?,
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                result => return result,
+            }
+        }
+    }
+
     /// Appends what has arrived, at most a chunk; waits until there is something.
     async fn read_some(&self, inbox: &mut Vec<u8>) -> io::Result<usize> {
         loop {
@@ -294,6 +330,13 @@
         }
     }
 
+    /// Waits for ever, but for the end of the connection, once nothing more is to be read.
+    async fn may_read(&self) {
+        while self.stops_reading.get() && self.unread() != Unread::EndOfStream {
+            Timer::after(UNREAD_CLOSE_CHECK_INTERVAL).await;
+        }
+    }
+
     /// Appends what has arrived, at most a chunk, without waiting for it.
     fn read_now(&self, inbox: &mut Vec<u8>) -> io::Result<usize> {
         READ_BUFFER.with_borrow_mut(|buffer| {
@@ -314,6 +357,16 @@
         future::or(self.flush_and_read_to_end(), limit).await;
     }
 
+    /// Closes our side and waits for the peer to close, for a bounded time, without reading what it still sends. Guards
+    /// against the reset that closing at once could send: it can take a message along that the peer has not read yet.
+    pub async fn close_unread(&self) {
+        self.shutdown_unread();
+        let limit = async {
+            Timer::after(SHUTDOWN_READ_TIMEOUT).await;
+        };
+        future::or(self.may_read(), limit).await;
+    }
+
     async fn flush_and_read_to_end(&self) {
         while !self.queue.borrow().is_empty() {
             let writable = self.stream.writable().await;
--- a/src/net/dispatch/host_connections.rs
+++ b/src/net/dispatch/host_connections.rs
@@ -91,7 +91,10 @@
             self.timer_wheel
                 .add(now + backoff, TimerEvent::Reconnect(host.clone(), id));
         }
-        if error == ConnectError::NoDescriptor {
+        if matches!(
+            error,
+            ConnectError::NoDescriptor | ConnectError::LocalFault(_)
+        ) {
             // The fault is here, not at the host.
             info!(peer = "host", host = &*host.0, connection = id, reason = %error, "connection ended");
             return self.end_pending_attempts(now, pending_attempts, Outcome::NotSent);
@@ -239,8 +242,11 @@
             return;
         }
         // Nothing arrives on what is open there. Guards against attempts that wait there for an answer until their
-        // clients give up: what may be retried goes elsewhere at once.
-        link.close_connections(CloseReason::Silent);
+        // clients give up: what may be retried goes elsewhere at once. A connect that failed without its whole time says
+        // nothing of that.
+        if matches!(error, ConnectError::Refused | ConnectError::TimedOut) {
+            link.close_connections(CloseReason::Silent);
+        }
         if error == ConnectError::Refused {
             // Proof that the process has ended, and its tasks with it.
             self.end_lost_tasks(now, host, Micros::MAX);
--- a/src/net/dispatch/shutdown.rs
+++ b/src/net/dispatch/shutdown.rs
@@ -3,9 +3,10 @@
 
 use super::request::{Request, RequestState};
 use super::{Dispatch, MILLISECOND};
+use crate::net::codec::Cause;
 use crate::net::health::reporter::{DrainTask, HealthReporter};
 use task_placer::Micros;
-use task_placer::facade::PlacementEvent;
+use task_placer::facade::{PlacementEvent, Ticket};
 use task_placer::health::drain::Outstanding;
 use task_placer::operation::lifecycle;
 use tracing::{info, warn};
@@ -15,8 +16,8 @@
 const MAX_CLIENT_WAIT: Micros = 3_000 * MILLISECOND;
 /// How long after that wait pending responses are sent.
 const RESPONSE_GRACE: Micros = 300 * MILLISECOND;
-/// How long after that wait the process exits at last.
-const EXIT_GRACE: Micros = 500 * MILLISECOND;
+/// How long after that wait the process exits at last. What peers still send is waited for afterwards, for 100 ms.
+const EXIT_GRACE: Micros = 550 * MILLISECOND;
 /// The process does not exit before: new requests may still arrive for 0.6 s (the protocol's figure).
 const MIN_SHUTDOWN_TIME: Micros = 1_000 * MILLISECOND;
 
@@ -104,6 +105,44 @@
         self.facade.max_deadline().clamp(0, MAX_CLIENT_WAIT)
     }
 
+    /// Closes connections as they come to rest, once all pending responses are due.
+    ///
+    /// Clients go on sending on open connections until the process ends, and a moment at which all of them are at rest may
+    /// never come. A request that crosses the close of its connection is sent again elsewhere; one that is pending when the
+    /// process ends is lost.
+    pub(super) fn close_resting_clients(&mut self, now: Micros) {
+        // Where another process accepts, the ends of tasks are reported on these connections until the exit.
+        if self.lifecycle.is_shutting_down() {
+            return;
+        }
+        let due_after = self.max_client_wait() + RESPONSE_GRACE;
+        if self
+            .shutdown_since
+            .is_some_and(|since| now - since >= due_after)
+        {
+            self.clients.close_resting(now);
+        }
+    }
+
+    /// Answers whatever is still pending when the process exits: it has failed.
+    pub fn fail_pending_requests(&mut self) {
+        let now = self.clock.now();
+        let pending: Vec<Ticket> = self
+            .requests
+            .iter()
+            .filter(|(_, request)| request.awaits_response())
+            .map(|(ticket, _)| *ticket)
+            .collect();
+        for ticket in pending {
+            let request = self.requests.get(&ticket).map(|request| request.id);
+            warn!(
+                task = request.map(|id| id.to_string()),
+                "failed at the exit"
+            );
+            self.respond_unplaced(now, ticket, Cause::FAILED, None);
+        }
+    }
+
     /// Whether the process must exit, whatever is left.
     pub fn is_overdue(&self) -> bool {
         let now = self.clock.now();
--- a/src/net/dispatch/timers.rs
+++ b/src/net/dispatch/timers.rs
@@ -27,6 +27,7 @@
             self.fire_timer(now, timer);
         }
         self.clients.resend_task_ends(now);
+        self.close_resting_clients(now);
         let decisions = self.facade.tick(now);
         self.apply_decisions(now, decisions);
     }
--- a/src/net/hosts.rs
+++ b/src/net/hosts.rs
@@ -7,10 +7,10 @@
 use super::codec::lines::HostMessage;
 use super::codec::{MAX_MESSAGE_BYTES, TaskId, lines, next_line};
 use super::conn::{CloseReason, Connection};
+use super::system_error::{is_local_fault, is_out_of_descriptors};
 use async_channel::{Receiver, Sender};
 use async_io::Async;
 use futures_lite::future;
-use rustix::io::Errno;
 use std::cell::RefCell;
 use std::io::{self, ErrorKind};
 use std::net::{SocketAddr, TcpStream};
@@ -25,9 +25,6 @@
 /// The backoff is not computed for more doublings than these.
 const MAX_BACKOFF_DOUBLINGS: u32 = 8;
 
-/// The system's errors where the process or the machine has no descriptor left.
-const NO_DESCRIPTOR_ERRORS: [i32; 2] = [Errno::MFILE.raw_os_error(), Errno::NFILE.raw_os_error()];
-
 /// Identifies a connection among those to one host.
 pub type ConnectionId = u64;
 
@@ -258,21 +255,25 @@
     /// This process has no descriptor left for it: nothing is known of the host.
     #[error("connect-failed:no-descriptor")]
     NoDescriptor,
-    /// Something here or on the way failed.
+    /// This machine could not make it for a moment, as without a free port: nothing is known of the host.
+    #[error("connect-failed:local:{0}")]
+    LocalFault(ErrorKind),
+    /// There is no way to the host at the moment.
     #[error("connect-failed:{0}")]
-    Failed(ErrorKind),
+    Unreachable(ErrorKind),
 }
 
 impl From<io::Error> for ConnectError {
     fn from(error: io::Error) -> ConnectError {
-        let code = error.raw_os_error();
-        if code.is_some_and(|code| NO_DESCRIPTOR_ERRORS.contains(&code)) {
+        if is_out_of_descriptors(&error) {
             return ConnectError::NoDescriptor;
         }
+        if is_local_fault(&error) {
+            return ConnectError::LocalFault(error.kind());
+        }
         match error.kind() {
             ErrorKind::ConnectionRefused => ConnectError::Refused,
-            ErrorKind::TimedOut | ErrorKind::HostUnreachable => ConnectError::TimedOut,
-            kind => ConnectError::Failed(kind),
+            kind => ConnectError::Unreachable(kind),
         }
     }
 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -16,6 +16,7 @@
 mod hosts;
 mod inherit;
 pub mod log;
+mod system_error;
 mod timer_wheel;
 
 use crate::operator::Operator;
@@ -113,6 +114,7 @@
         let new_addresses = self.follow_feed();
         self.handle_signals(signals, path, new_addresses);
         self.run_until_finished(&acceptor).await;
+        self.shared.borrow_mut().fail_pending_requests();
         accept::shutdown_connections(&self.shared).await;
         if let Some(socket) = &self.operator.control_socket {
             let _ = std::fs::remove_file(socket);
@@ -190,7 +192,9 @@
                 let mut dispatch = shared.borrow_mut();
                 match signal {
                     Ok(Signal::Hup) => reload(&mut dispatch, path.as_deref(), &new_addresses),
-                    _ => dispatch.terminate(),
+                    Ok(_) => dispatch.terminate(),
+                    // No signal was read: nobody has asked for the shutdown.
+                    Err(error) => warn!(reason = %error.kind(), "signal not read"),
                 }
             }
         };
--- /dev/null
+++ b/src/net/system_error.rs
@@ -0,0 +1,34 @@
+//! What an error of a system call says: about this machine, or about the peer.
+
+use rustix::io::Errno;
+use std::io;
+
+/// The process or the machine has no descriptor left.
+const OUT_OF_DESCRIPTORS: [Errno; 2] = [Errno::MFILE, Errno::NFILE];
+/// This machine could not make the call for a moment; nothing has reached the peer.
+const LOCAL_FAULTS: [Errno; 6] = [
+    Errno::NOBUFS,
+    Errno::NOMEM,
+    Errno::ADDRNOTAVAIL,
+    Errno::ADDRINUSE,
+    Errno::AGAIN,
+    Errno::INTR,
+];
+
+/// Whether the process or the machine has no descriptor left.
+pub fn is_out_of_descriptors(error: &io::Error) -> bool {
+    has_code(error, &OUT_OF_DESCRIPTORS)
+}
+
+/// Whether the failure lies at this machine, and says nothing about the peer.
+pub fn is_local_fault(error: &io::Error) -> bool {
+    is_out_of_descriptors(error) || has_code(error, &LOCAL_FAULTS)
+}
+
+fn has_code(error: &io::Error, codes: &[Errno]) -> bool {
+    let code = error.raw_os_error();
+    code.is_some_and(|code| codes.iter().any(|known| known.raw_os_error() == code))
+}
+
+#[cfg(test)]
+mod tests;
--- a/tests/endings/process.rs
+++ b/tests/endings/process.rs
@@ -179,3 +179,17 @@
     assert!(client.health_check() && program.is_running());
     let _ = std::fs::remove_file(&pipe);
 }
+
+// A client that has seen the close sends a crossing request again elsewhere: read here, it could start twice.
+#[test]
+fn request_that_crosses_the_exit_is_neither_read_nor_offered() {
+    let (mut program, _feed, _hosts, mut connections) = start_with_hosts(1);
+    let mut client = checked_client(&program);
+    program.terminate();
+    assert_eq!(client.next_message(), None, "the placer has closed");
+
+    client.request_task(1, &NON_IDEMPOTENT_TASK);
+
+    assert!(program.wait_exit().success());
+    assert!(connections[0].read_within(QUIET_PERIOD).is_none());
+}
