Failing test: time that a request waits unread is passed to a host

Cause shown: the budget counts from when the request is read. A placer that was stopped, or got no processor, passes on time that its client no longer has. The test stops the process for 0.8 s.

--- a/tests/endings/process.rs
+++ b/tests/endings/process.rs
@@ -193,3 +193,34 @@
     assert!(program.wait_exit().success());
     assert!(connections[0].read_within(QUIET_PERIOD).is_none());
 }
+
+// The client's time runs from when it sent the request, also while the placer is stopped and has not read it.
+#[test]
+fn time_in_which_the_placer_was_stopped_is_not_passed_to_a_host() {
+    let (program, _feed, _hosts, mut connections) = start_with_hosts(1);
+    let mut client = checked_client(&program);
+    let (wait, stopped) = (Duration::from_secs(3), Duration::from_millis(800));
+    let slack = Duration::from_millis(150);
+    let mut sent_at = Instant::now();
+    program.while_stopped(|| {
+        client.request_task(
+            1,
+            &TaskRequest {
+                wait_ms: 3_000,
+                ..request(1)
+            },
+        );
+        sent_at = Instant::now();
+        std::thread::sleep(stopped);
+    });
+
+    let offer = connections[0].expect("new");
+    let left = wait.saturating_sub(sent_at.elapsed());
+    let passed = offer.get("f").and_then(|fields| fields.get_str("left"));
+    let passed: u64 = passed.expect("a time").parse().expect("a number");
+
+    assert!(
+        Duration::from_millis(passed) <= left + slack,
+        "{passed} ms passed on, {left:?} left"
+    );
+}
