--- a/crates/emulator/src/host.rs
+++ b/crates/emulator/src/host.rs
@@ -71,6 +71,11 @@
         }
     }
 
+    /// Waits for the next connection and returns its bare socket; none if there is none within the limit.
+    pub fn accept_stream_within(&self, limit: Duration) -> Option<TcpStream> {
+        accept(&self.listener, limit)
+    }
+
     /// Waits for the next connection; none if there is none within the limit.
     pub fn accept_within(&self, limit: Duration) -> Option<HostConnection> {
         accept(&self.listener, limit).map(|stream| HostConnection {
--- a/src/net/dispatch/host_connections.rs
+++ b/src/net/dispatch/host_connections.rs
@@ -140,7 +140,8 @@
             {
                 self.request_connection(now, host);
             }
-        } else if !matches!(reason, CloseReason::Closed | CloseReason::Replaced) {
+        } else if reason != CloseReason::Replaced {
+            // Also after an orderly close: something on the way may have swallowed what was sent before it.
             self.request_repeated_ends(now, host);
         }
         for ticket in cut {
