Clock test: bound the time after a stall from above again

Cause: the replaced test of a stall demanded an exact time; the new one only that it has passed, which is less strict. Change: the time read lies between the stall and what the monotonic clock shows just after. Measured: the five tests of the clock pass.

--- a/src/net/clock/tests.rs
+++ b/src/net/clock/tests.rs
@@ -73,5 +73,8 @@
         unix_at_start: NOW,
     };
 
-    assert!(clock.now() >= NOW + stall);
+    let now = clock.now();
+
+    let elapsed = Micros::try_from(started_at.elapsed().as_micros()).expect("a short time");
+    assert!((NOW + stall..=NOW + elapsed).contains(&now), "{now}");
 }
