Reload test: wait until the feed event was handled before the next signal

The test sent event n of the feed and then SIGHUP with another feed address; nothing made the placer read the event first. Each event now lists a new host, and the test waits for the connection that the placer opens to it. The check itself stays.

--- a/tests/rough.rs
+++ b/tests/rough.rs
@@ -261,10 +261,14 @@
     let mut client = program.client();
     client.request_task(1, &IDEMPOTENT_TASK);
     let id = connection.expect_offer();
+    let mut new_hosts = Vec::new();
     for n in 3..5 {
         // An invalid file leaves the previous one in force.
         program.reload("{\"feed\":");
-        feed.send_host_state(n, &host, "up");
+        // The connection to the new host shows that the event was handled before the signal.
+        let new_host = Host::new(&format!("h{n}"), "north");
+        feed.send_host_state(n, &new_host, "up");
+        new_hosts.push((new_host.accept(), new_host));
         assert!(client.health_check());
         feed = Feed::new();
         config["feed"] = feed.address().into();
