Metrics of task ends and of host connections by reason; the log names the reason

Operators could not see from outside whether ends of tasks arrive, nor why connections are made. vars has task_ends (sent, resent, acknowledged, unacknowledged, waiting) and host_connections by reason, and the connection opened line has reason. Test: metrics_tell_what_became_of_task_ends_and_why_connections_were_made.

--- a/src/net/clients/pending_task_ends.rs
+++ b/src/net/clients/pending_task_ends.rs
@@ -67,30 +67,54 @@
     }
 }
 
+/// What became of the ends of tasks since the start of this process.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct TaskEndCounters {
+    /// Ends that were sent on a connection at least.
+    pub sent: u64,
+    /// Times that an end which was not acknowledged was sent again, on other connections.
+    pub resent: u64,
+    /// Ends that a client has acknowledged.
+    pub acknowledged: u64,
+    /// Ends that no client has acknowledged yet, those that wait included.
+    pub unacknowledged: usize,
+    /// Ends that wait for the next client, since no connection is left to try.
+    pub waiting: usize,
+}
+
 /// The ends of tasks that no client has acknowledged.
 #[derive(Default)]
-pub(super) struct PendingTaskEnds(BTreeMap<TaskId, PendingTaskEnd>);
+pub(super) struct PendingTaskEnds {
+    ends: BTreeMap<TaskId, PendingTaskEnd>,
+    /// Of the counters, those that only grow.
+    totals: TaskEndCounters,
+}
 
 impl PendingTaskEnds {
     /// Adds the end of a task.
     pub(super) fn insert(&mut self, task: TaskId, bytes: Vec<u8>) {
-        self.0.insert(task, PendingTaskEnd::new(bytes));
+        self.ends.insert(task, PendingTaskEnd::new(bytes));
     }
 
     /// Returns the end of a task, if it is pending.
     pub(super) fn get(&self, task: TaskId) -> Option<&PendingTaskEnd> {
-        self.0.get(&task)
+        self.ends.get(&task)
     }
 
     /// Records on which connections an end was sent now; on none, it waits for the next client.
     pub(super) fn record_round(&mut self, now: Micros, task: TaskId, connections: Vec<ClientId>) {
-        let Some(end) = self.0.get_mut(&task) else {
+        let Some(end) = self.ends.get_mut(&task) else {
             return;
         };
         end.waits_for_client = connections.is_empty();
         if end.waits_for_client {
             return;
         }
+        if end.is_resend() {
+            self.totals.resent += 1;
+        } else {
+            self.totals.sent += 1;
+        }
         end.rounds += 1;
         end.sent_at = Some(now);
         end.tried.extend(&connections);
@@ -99,12 +123,23 @@
 
     /// Forgets an end that a client has acknowledged, and returns whether it was pending.
     pub(super) fn acknowledge(&mut self, task: TaskId) -> bool {
-        self.0.remove(&task).is_some()
+        let was_pending = self.ends.remove(&task).is_some();
+        self.totals.acknowledged += u64::from(was_pending);
+        was_pending
+    }
+
+    /// Returns what became of the ends since the start of this process, and what is pending now.
+    pub(super) fn counters(&self) -> TaskEndCounters {
+        TaskEndCounters {
+            unacknowledged: self.ends.len(),
+            waiting: self.waiting().len(),
+            ..self.totals
+        }
     }
 
     /// Returns the ends that were last sent on a connection.
     pub(super) fn last_sent_on(&self, id: ClientId) -> Vec<TaskId> {
-        let ends = self.0.iter();
+        let ends = self.ends.iter();
         ends.filter(|(_, end)| end.last_round.contains(&id))
             .map(|(task, _)| *task)
             .collect()
@@ -112,7 +147,7 @@
 
     /// Returns the ends that wait for the next client.
     pub(super) fn waiting(&self) -> Vec<TaskId> {
-        let ends = self.0.iter();
+        let ends = self.ends.iter();
         ends.filter(|(_, end)| end.waits_for_client)
             .map(|(task, _)| *task)
             .collect()
@@ -120,7 +155,7 @@
 
     /// Returns the ends that were not acknowledged in time, with the connections that had them last.
     pub(super) fn overdue(&self, now: Micros) -> Vec<(TaskId, Vec<ClientId>)> {
-        let ends = self.0.iter();
+        let ends = self.ends.iter();
         ends.filter(|(_, end)| !end.waits_for_client && !end.sent_within(now, ACKNOWLEDGE_TIMEOUT))
             .map(|(task, end)| (*task, end.last_round.clone()))
             .collect()
@@ -128,7 +163,7 @@
 
     /// Returns the connections on which the end of a task was sent within this time.
     pub(super) fn sent_within(&self, now: Micros, time: Micros) -> BTreeSet<ClientId> {
-        let ends = self.0.values();
+        let ends = self.ends.values();
         ends.filter(|end| end.sent_within(now, time))
             .flat_map(|end| end.last_round.iter().copied())
             .collect()
@@ -136,20 +171,20 @@
 
     /// Forgets what was sent and has waited for its acknowledgement for too long.
     pub(super) fn forget_old(&mut self, now: Micros) {
-        self.0
+        self.ends
             .retain(|_, end| end.sent_at.is_none() || end.sent_within(now, MAX_UNACKNOWLEDGED));
     }
 
     /// Returns the number of ends that no client has taken, or may not have read yet.
     pub(super) fn unconfirmed(&self, now: Micros) -> usize {
-        let ends = self.0.values();
+        let ends = self.ends.values();
         ends.filter(|end| end.sent_at.is_none() || end.sent_within(now, DELIVERY_TIME))
             .count()
     }
 
     /// Whether an end is on its way to a client, or will be sent on other connections soon.
     pub(super) fn is_delivering(&self, now: Micros) -> bool {
-        let mut ends = self.0.values();
+        let mut ends = self.ends.values();
         ends.any(|end| !end.waits_for_client || end.sent_within(now, ACKNOWLEDGE_TIMEOUT))
     }
 }
--- a/src/net/clients/task_ends.rs
+++ b/src/net/clients/task_ends.rs
@@ -4,6 +4,7 @@
 //! it is not acknowledged soon, or if that connection closes first.
 
 use super::id::ClientId;
+use super::pending_task_ends::TaskEndCounters;
 use super::table::{Client, Clients};
 use crate::net::codec::TaskId;
 use std::cmp::Reverse;
@@ -16,6 +17,11 @@
         self.task_ends.unconfirmed(now)
     }
 
+    /// Returns what became of the ends of tasks, for the metrics.
+    pub fn task_end_counters(&self) -> TaskEndCounters {
+        self.task_ends.counters()
+    }
+
     /// Whether the end of a task is on its way to a client, or will be sent on another connection soon.
     pub fn is_delivering_task_ends(&self, now: Micros) -> bool {
         self.task_ends.is_delivering(now)
--- a/src/net/dispatch.rs
+++ b/src/net/dispatch.rs
@@ -51,7 +51,7 @@
 use super::feed::FeedEvents;
 use super::health::connection_limiter::ConnectionLimiter;
 use super::health::reporter::HealthReporter;
-use super::hosts::{ConnectionId, HostLink};
+use super::hosts::{ConnectCounters, ConnectionId, HostLink};
 use super::timer_wheel::TimerWheel;
 use crate::operator::Operator;
 use async_executor::LocalExecutor;
@@ -144,6 +144,8 @@
     lifecycle: Lifecycle,
     /// What this process has done, by class.
     pub(super) counters: RequestCounters,
+    /// The connections to hosts that came up, by reason.
+    connect_counters: ConnectCounters,
     /// The limits of the placer, which its processes share.
     limits: Limits,
     process_group: ProcessGroup,
@@ -173,6 +175,7 @@
             connect_timeout: config.settings.connect_timeout,
             preconnects: config.settings.price_handshake <= 0.0,
             counters: RequestCounters::new(config.names.classes.len()),
+            connect_counters: ConnectCounters::default(),
             facade: Facade::with_overload_control(
                 config.settings,
                 config.names,
--- a/src/net/dispatch/admin_commands.rs
+++ b/src/net/dispatch/admin_commands.rs
@@ -144,9 +144,23 @@
             "hosts_excluded": self.facade.unavailable_hosts(),
         });
         let _ = vars.insert("requests", OwnedValue::from(requests));
+        let _ = vars.insert("task_ends", self.task_end_vars());
+        let _ = vars.insert("host_connections", self.connect_counters.to_json());
         vars
     }
 
+    /// Returns what became of the ends of tasks, under the names that `vars` has for them.
+    fn task_end_vars(&self) -> OwnedValue {
+        let ends = self.clients.task_end_counters();
+        json!({
+            "sent": ends.sent,
+            "resent": ends.resent,
+            "acknowledged": ends.acknowledged,
+            "unacknowledged": ends.unacknowledged,
+            "waiting": ends.waiting,
+        })
+    }
+
     /// Runs an operator's command from the control socket, and returns the fields of the reply.
     pub fn run_ctl_command(&mut self, command: ctl::Command) -> Result<OwnedValue, CommandError> {
         let now = self.clock.now();
--- a/src/net/dispatch/host_connections.rs
+++ b/src/net/dispatch/host_connections.rs
@@ -9,7 +9,8 @@
 use crate::net::codec::lines::{self, HostMessage};
 use crate::net::conn::{CloseReason, Connection, MAX_WRITE_STALL};
 use crate::net::hosts::{
-    self, ConnectError, ConnectOutcome, ConnectionId, ConnectionState, HostEvents, HostLink,
+    self, ConnectError, ConnectOutcome, ConnectReason, ConnectionId, ConnectionState, HostEvents,
+    HostLink,
 };
 use std::rc::Rc;
 use std::time::Duration;
@@ -62,10 +63,12 @@
         link.connect_failures = 0;
         link.unreachable_since = None;
         link.last_message_at = now;
+        self.connect_counters.record(link.connect_reason);
         info!(
             peer = "host",
             host = &*host.0,
             connection = id,
+            reason = %link.connect_reason,
             replaced = link.replaced.len(),
             "connection opened"
         );
@@ -166,6 +169,7 @@
 impl Dispatch {
     /// Starts to connect, beside an open connection if there is one.
     pub(super) fn connect(&mut self, now: Micros, host: &HostId) {
+        let reason = self.connect_reason(host);
         let Some(link) = self.hosts.get_mut(host) else {
             return;
         };
@@ -183,6 +187,7 @@
         link.is_suspect = false;
         link.needs_repeated_ends = false;
         link.connection_id += 1;
+        link.connect_reason = reason;
         link.last_connect_at = now;
         let id = link.connection_id;
         self.connection_pool.occupy(now, (host.clone(), id));
@@ -194,6 +199,23 @@
         self.update_priorities(now, host, ConnectionUse::Unchanged);
     }
 
+    /// Returns why a connection to a host is made now.
+    fn connect_reason(&self, host: &HostId) -> ConnectReason {
+        let link = self.hosts.get(host);
+        if link.is_some_and(|link| link.needs_repeated_ends) {
+            return ConnectReason::RepeatedEnds;
+        }
+        if link.is_some_and(|link| link.is_suspect) {
+            return ConnectReason::Suspicion;
+        }
+        match self.connection_need(host) {
+            Some(ConnectPurpose::SendAttempt) => ConnectReason::Attempt,
+            Some(ConnectPurpose::ReportRelease) => ConnectReason::Release,
+            Some(ConnectPurpose::ReadTaskEnds) => ConnectReason::RunningTasks,
+            Some(ConnectPurpose::Prewarm) | None => ConnectReason::Prewarm,
+        }
+    }
+
     /// Returns how long this placer waits for its slot to call a host that did not answer, where slots are taken. While
     /// tasks run there, their ends are awaited, and the host is called no more seldom than without slots.
     fn health_check_delay(&self, now: Micros, host: &HostId) -> Micros {
--- a/src/net/hosts.rs
+++ b/src/net/hosts.rs
@@ -1,6 +1,10 @@
 //! Owns the connections to hosts: one for each, kept open, made again when lost. It knows nothing of dispatch: what
 //! happens on a connection goes to whoever implements [`HostEvents`], and so does every decision on it.
 
+mod connect_reason;
+
+pub use connect_reason::{ConnectCounters, ConnectReason};
+
 use super::clients::ReadMark;
 use super::clock::Clock;
 use super::codec::feed::DiscoveredEndpoint;
@@ -103,6 +107,8 @@
     pub connection: ConnectionState,
     /// The id of the latest connection.
     pub connection_id: ConnectionId,
+    /// Why the latest connection was made.
+    pub connect_reason: ConnectReason,
     /// Connections that were replaced because they fell silent; attempts may still be in flight on them.
     pub replaced: Vec<(ConnectionId, Rc<Connection>)>,
     /// When the last message arrived from it.
@@ -144,6 +150,7 @@
             rejected_full_at: None,
             connection: ConnectionState::Disconnected,
             connection_id: 0,
+            connect_reason: ConnectReason::default(),
             replaced: Vec::new(),
             last_message_at: 0,
             last_connect_at: 0,
--- a/tests/operating.rs
+++ b/tests/operating.rs
@@ -210,6 +210,52 @@
     assert_eq!(admin.metrics().get_u64("hosts_excluded"), Some(0));
 }
 
+#[test]
+fn metrics_tell_what_became_of_task_ends_and_why_connections_were_made() {
+    let (program, admin, _feed, hosts, mut connections) = start_with_admin_socket(1);
+    let count = |group: &str, name: &str| {
+        let metrics = admin.metrics();
+        let count = metrics.get(group).and_then(|group| group.get_u64(name));
+        count.unwrap_or_else(|| panic!("{group}.{name}: {metrics}"))
+    };
+    let mut client = program.client();
+    assert!(client.health_check());
+    client.request_task(1, &IDEMPOTENT_TASK);
+    let id = connections[0].expect_offer();
+    connections[0].report_running(&id);
+    assert_eq!(client.expect_message().kind, 9);
+
+    connections[0].report_ended(&id, 16, "");
+    connections[0].expect("ack");
+    assert_eq!(client.expect_message().kind, 12);
+    let mut second_client = program.client();
+    assert!(second_client.health_check());
+    second_client.request_task(2, &IDEMPOTENT_TASK);
+    let id = connections[0].expect_offer();
+    assert_eq!(second_client.expect_message().kind, 12, "resent");
+    let counts = |names: &[&str]| -> Vec<u64> {
+        let counts = names.iter().map(|name| count("task_ends", name));
+        counts.collect()
+    };
+    assert_eq!(counts(&["sent", "resent", "acknowledged"]), [1, 1, 0]);
+    assert_eq!(counts(&["unacknowledged", "waiting"]), [1, 0]);
+
+    second_client.acknowledge_end(1);
+    wait_for("the end is acknowledged", || {
+        (counts(&["acknowledged", "unacknowledged"]) == [1, 0]).then_some(())
+    });
+    // A task runs while the connection ends.
+    connections[0].report_running(&id);
+    assert_eq!(second_client.expect_message().kind, 9);
+    connections.clear();
+    let _connection = hosts[0].accept();
+    wait_for("the connection is counted", || {
+        (count("host_connections", "running-tasks") == 1).then_some(())
+    });
+    assert_eq!(count("host_connections", "attempt"), 0);
+    program.wait_for_log("reason=running-tasks replaced=0");
+}
+
 // ---- Drains ----
 
 #[test]
