--- a/crates/load-test/tests/rehearsal.rs
+++ b/crates/load-test/tests/rehearsal.rs
@@ -3,7 +3,7 @@
 use emulator::cluster::describe;
 use emulator::host_model::{Micros, Offer};
 use emulator::{Message, encode_message};
-use load_test::outcome::Outcome;
+use load_test::outcome::{Outcome, TaskRecord};
 use load_test::plan::Plan;
 use load_test::results::{findings_text, impact_text, summarize, summary_text};
 use load_test::run::{Options, run};
@@ -553,18 +553,21 @@
         .iter()
         .position(|p| p.name == phase)
         .expect("a phase");
-    let of = outcome
+    let tasks = outcome
         .tasks
         .iter()
         .filter(|task| task.phase == number && which(task.placer));
-    let (count, good) = of.fold((0, 0), |(count, good), task| {
-        (
-            count + 1,
-            good + usize::from(task.started.is_some_and(|late| late <= 1_000 * MILLI)),
-        )
+    fraction_in_time(tasks)
+}
+
+/// Returns the fraction of these tasks that started within a second of their due time.
+fn fraction_in_time<'a>(tasks: impl Iterator<Item = &'a TaskRecord>) -> f64 {
+    let (count, in_time) = tasks.fold((0, 0), |(count, in_time), task| {
+        let is_in_time = task.started.is_some_and(|late| late <= 1_000 * MILLI);
+        (count + 1, in_time + usize::from(is_in_time))
     });
-    assert!(count > 50, "{phase}: {count} tasks");
-    good as f64 / count as f64
+    assert!(count > 50, "{count} tasks");
+    in_time as f64 / count as f64
 }
 
 #[test]
@@ -614,10 +617,12 @@
             impact_text(&outcome.impact)
         )
     };
-    let after = |outcome: &Outcome| within_objective(outcome, "after", |_| true);
-    assert!(after(&as_one) > 0.95, "{}", told(&as_one));
+    let after = within_objective(&as_one, "after", |_| true);
+    assert!(after > 0.97, "{}", told(&as_one));
+    // Without overload control an overload may end by chance, so no single phase is compared.
+    let whole_run = |outcome: &Outcome| fraction_in_time(outcome.tasks.iter());
     assert!(
-        after(&as_one) > after(&before) + 0.1,
+        whole_run(&as_one) > whole_run(&before) + 0.1,
         "{}{}",
         told(&before),
         told(&as_one)
@@ -632,7 +637,7 @@
     assert_eq!((cut(&before), cut(&as_one)), (0, 0), "{}", told(&as_one));
     let vain = |outcome: &Outcome| outcome.impact.total(|second| second.abandoned_offers);
     assert!(
-        vain(&as_one) < vain(&before),
+        vain(&as_one) * 2 < vain(&before),
         "{}{}",
         told(&before),
         told(&as_one)
