Start and reload repeat calls of the system that fail for a moment

Cause: one ENFILE, ENOBUFS or EIO in a bind, in the setup of signals, or while the configuration was read ended the start; at a reload it lost the SIGHUP. Reloads have their own task, so a file that cannot be read delays no shutdown. Test: start_waits_for_what_the_system_lacks_for_a_moment failed on the code before, passes now.

--- a/crates/emulator/src/program.rs
+++ b/crates/emulator/src/program.rs
@@ -1,6 +1,7 @@
 //! The program under test as a process: how it is launched, signalled and watched.
 
 use crate::{Client, TEST_TIMEOUT, supervisor, tcp_delivery, wait_for};
+use rustix::process::{Pid, Resource, Rlimit, getrlimit, prlimit};
 use simd_json::OwnedValue;
 use simd_json::prelude::*;
 use std::fs::File;
@@ -141,7 +142,7 @@
             ""
         };
         let run = format!(
-            "ulimit -n {}; exec \"$0\" \"$@\"{inherited}",
+            "ulimit -S -n {}; exec \"$0\" \"$@\"{inherited}",
             self.descriptors
         );
         command.args(["-c", &run]);
@@ -245,6 +246,20 @@
         supervisor::open_descriptors(self.pid())
     }
 
+    /// Changes the limit of its descriptors while it runs.
+    ///
+    /// # Panics
+    ///
+    /// If the system does not allow it.
+    pub fn set_descriptor_limit(&self, descriptors: u64) {
+        let limit = Rlimit {
+            current: Some(descriptors),
+            maximum: getrlimit(Resource::Nofile).maximum,
+        };
+        let pid = Pid::from_child(&self.child);
+        prlimit(Some(pid), Resource::Nofile, limit).expect("the system allows it");
+    }
+
     /// Returns its resident memory in kB.
     pub fn memory_kb(&self) -> u64 {
         supervisor::resident_kb(self.pid())
--- a/src/cli/check.rs
+++ b/src/cli/check.rs
@@ -12,7 +12,7 @@
 
 /// Runs the command, and returns the exit code: 0 where both files are right, 2 where they are not.
 pub(super) fn run(cli: &Cli) -> ExitCode {
-    let config = config::load(cli.files.config.as_deref());
+    let config = async_io::block_on(config::load(cli.files.config.as_deref()));
     let loaded = cli.files.load_operator();
     let operator_name = match cli.files.operator.as_deref() {
         Some(path) => path.to_string_lossy().into_owned(),
--- a/src/cli/serve.rs
+++ b/src/cli/serve.rs
@@ -17,7 +17,7 @@
             return ExitCode::FAILURE;
         }
     };
-    let config = match config::load(cli.files.config.as_deref()) {
+    let config = match async_io::block_on(config::load(cli.files.config.as_deref())) {
         Ok(config) => config,
         Err(problem) => {
             complain(&format!("task-placer: {problem}"));
--- a/src/net/admin.rs
+++ b/src/net/admin.rs
@@ -6,6 +6,7 @@
 use super::dispatch::{MAX_ADMIN_CONNECTIONS, Shared};
 use super::health::connection_limiter::{ConnectionLimiter, ConnectionPermit};
 use super::health::linger;
+use super::retry::retry;
 use async_executor::LocalExecutor;
 use async_io::Async;
 use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
@@ -52,12 +53,12 @@
 /// # Errors
 ///
 /// Fails if nothing can listen at the address.
-pub fn open(
+pub async fn open(
     address: SocketAddr,
     executor: &Rc<LocalExecutor<'static>>,
     shared: &Shared,
 ) -> io::Result<Rc<ConnectionLimiter>> {
-    let bound = Async::<TcpListener>::bind(address);
+    let bound = retry("admin", || Async::<TcpListener>::bind(address)).await;
     let listener = bound.map_err(|e| io::Error::new(e.kind(), format!("admin: {address}: {e}")))?;
     let limiter = Rc::new(ConnectionLimiter::new(MAX_ADMIN_CONNECTIONS));
     executor
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -2,6 +2,7 @@
 
 use super::codec::feed::{self, FeedMessage};
 use super::codec::lines::number;
+use super::retry::retry;
 use simd_json::BorrowedValue;
 use simd_json::prelude::*;
 use std::io;
@@ -162,9 +163,10 @@
 /// # Errors
 ///
 /// Fails if the file can't be read, or a field of it is missing or wrong.
-pub fn load(path: Option<&Path>) -> Result<Config, ConfigError> {
+pub async fn load(path: Option<&Path>) -> Result<Config, ConfigError> {
     let path = path.ok_or(ConfigError::NoFile)?;
-    let mut text = std::fs::read(path).map_err(|error| ConfigError::Unreadable {
+    let read = retry("configuration", || std::fs::read(path)).await;
+    let mut text = read.map_err(|error| ConfigError::Unreadable {
         path: path.to_path_buf(),
         error,
     })?;
--- a/src/net/ctl.rs
+++ b/src/net/ctl.rs
@@ -5,6 +5,7 @@
 use super::codec;
 use super::dispatch::Shared;
 use super::health::connection_limiter::{ConnectionLimiter, ConnectionPermit};
+use super::retry::retry;
 use crate::ctl::{self, CommandError};
 use async_executor::LocalExecutor;
 use async_io::Async;
@@ -57,7 +58,7 @@
 /// # Errors
 ///
 /// Fails if another process answers at the path, or nothing can listen there.
-pub fn open(
+pub async fn open(
     path: &Path,
     executor: &Rc<LocalExecutor<'static>>,
     shared: &Shared,
@@ -65,7 +66,9 @@
     let with_path =
         |e: io::Error| io::Error::new(e.kind(), format!("ctl.socket: {}: {e}", path.display()));
     remove_stale_socket(path).map_err(with_path)?;
-    let listener = bind_private(path).map_err(with_path)?;
+    let listener = retry("ctl.socket", || bind_private(path))
+        .await
+        .map_err(with_path)?;
     let limiter = Rc::new(ConnectionLimiter::new(MAX_CONNECTIONS));
     executor
         .spawn(accept(listener, limiter.clone(), shared.clone()))
--- a/src/net/health/mod.rs
+++ b/src/net/health/mod.rs
@@ -11,6 +11,7 @@
 
 use super::clients::accept::pause_after_accept_error;
 use super::dispatch::Shared;
+use super::retry::retry;
 use crate::operator;
 use agent::AgentLine;
 use async_executor::LocalExecutor;
@@ -67,31 +68,32 @@
 /// # Errors
 ///
 /// Returns the error of a listener that can't be opened, with the field of the operator's file that names it.
-pub fn open(
+pub async fn open(
     settings: &operator::HealthSettings,
     executor: &Rc<LocalExecutor<'static>>,
     shared: &Shared,
 ) -> io::Result<()> {
     for address in &settings.agent_addresses {
-        listen(CheckKind::Agent, *address, executor, shared)?;
+        listen(CheckKind::Agent, *address, executor, shared).await?;
     }
     for address in &settings.http_addresses {
-        listen(CheckKind::Http, *address, executor, shared)?;
+        listen(CheckKind::Http, *address, executor, shared).await?;
     }
     Ok(())
 }
 
-fn listen(
+async fn listen(
     check: CheckKind,
     address: SocketAddr,
     executor: &Rc<LocalExecutor<'static>>,
     shared: &Shared,
 ) -> io::Result<()> {
-    let listener = Async::<TcpListener>::bind(address).map_err(|error| {
-        let field = match check {
-            CheckKind::Agent => "health.agent",
-            CheckKind::Http => "health.http",
-        };
+    let field = match check {
+        CheckKind::Agent => "health.agent",
+        CheckKind::Http => "health.http",
+    };
+    let bound = retry(field, || Async::<TcpListener>::bind(address)).await;
+    let listener = bound.map_err(|error| {
         let message = format!("{field}: can't listen at {address}: {error}");
         io::Error::new(error.kind(), message)
     })?;
--- a/src/net/inherit.rs
+++ b/src/net/inherit.rs
@@ -7,6 +7,7 @@
 
 use super::clients::accept::pause_after_accept_error;
 use super::dispatch::Shared;
+use super::retry::retry;
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use futures_lite::{AsyncReadExt, future};
@@ -16,6 +17,7 @@
 use std::fmt::Display;
 use std::io;
 use std::net::{SocketAddr, TcpListener};
+use std::os::fd::{OwnedFd, RawFd};
 use std::os::unix::net::{UnixListener, UnixStream};
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
@@ -43,7 +45,7 @@
 /// # Errors
 ///
 /// Fails if the variable names no socket that listens at this address; the error names what was found.
-pub fn listener(listen: SocketAddr) -> io::Result<Option<Async<TcpListener>>> {
+pub async fn listener(listen: SocketAddr) -> io::Result<Option<Async<TcpListener>>> {
     let value = env::var_os(ACCEPT_FD_VARIABLE);
     let Some(value) = value.filter(|value| !value.is_empty()) else {
         return Ok(None);
@@ -52,9 +54,9 @@
     let error =
         |what: &dyn Display| io::Error::other(format!("{ACCEPT_FD_VARIABLE}: {value}: {what}"));
     let number: i32 = value.parse().map_err(|e| error(&e))?;
-    let this_process = pidfd_open(getpid(), PidfdFlags::empty()).map_err(|e| error(&e))?;
-    let inherited =
-        pidfd_getfd(&this_process, number, PidfdGetfdFlags::empty()).map_err(|e| error(&e))?;
+    let inherited = retry(ACCEPT_FD_VARIABLE, || duplicate(number))
+        .await
+        .map_err(|e| error(&e))?;
     if !sockopt::socket_acceptconn(&inherited).unwrap_or(false) {
         return Err(error(&"is no socket that listens"));
     }
@@ -66,6 +68,13 @@
     Async::new(listener).map(Some)
 }
 
+/// Returns a second descriptor for what this one refers to.
+fn duplicate(number: RawFd) -> io::Result<OwnedFd> {
+    let this_process = pidfd_open(getpid(), PidfdFlags::empty())?;
+    let duplicate = pidfd_getfd(&this_process, number, PidfdGetfdFlags::empty())?;
+    Ok(duplicate)
+}
+
 /// Finds the other processes of this placer, and is found by them, for the life of the process.
 pub fn meet(name: &str, executor: &Rc<LocalExecutor<'static>>, shared: &Shared) {
     let path = meeting_socket(name);
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -16,11 +16,12 @@
 mod hosts;
 mod inherit;
 pub mod log;
+mod retry;
 mod system_error;
 mod timer_wheel;
 
 use crate::operator::Operator;
-use async_channel::Sender;
+use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use async_signal::Signal;
@@ -29,10 +30,11 @@
 use config::Config;
 use dispatch::{Dispatch, Shared};
 use futures_lite::StreamExt;
+use retry::retry;
 use std::cell::RefCell;
 use std::io;
 use std::net::{SocketAddr, TcpListener};
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
 use tracing::{info, warn};
@@ -44,7 +46,9 @@
 ///
 /// Fails if the system does not allow it.
 pub fn signals() -> io::Result<Signals> {
-    Signals::new([Signal::Term, Signal::Int, Signal::Hup])
+    async_io::block_on(retry("signals", || {
+        Signals::new([Signal::Term, Signal::Int, Signal::Hup])
+    }))
 }
 
 /// Serves until a signal asks for the shutdown and no response is pending. `path` is where the configuration came from,
@@ -108,9 +112,9 @@
     async fn run(self, path: Option<PathBuf>, signals: Signals) -> io::Result<()> {
         // The cached hosts are taken in before anyone can connect: a health check that passes means ready.
         self.shared.borrow_mut().start();
-        self.open_operator_listeners()?;
+        self.open_operator_listeners().await?;
         // Last: whoever can connect finds all else open.
-        let acceptor = self.open_client_listener()?;
+        let acceptor = self.open_client_listener().await?;
         let new_addresses = self.follow_feed();
         self.handle_signals(signals, path, new_addresses);
         self.run_until_finished(&acceptor).await;
@@ -123,22 +127,22 @@
     }
 
     /// Opens the listeners of load balancers and operators, where the operator's file and the configuration have them.
-    fn open_operator_listeners(&self) -> io::Result<()> {
-        health::open(&self.operator.health, &self.executor, &self.shared)?;
+    async fn open_operator_listeners(&self) -> io::Result<()> {
+        health::open(&self.operator.health, &self.executor, &self.shared).await?;
         if let Some(socket) = &self.operator.control_socket {
-            let limiter = ctl::open(socket, &self.executor, &self.shared)?;
+            let limiter = ctl::open(socket, &self.executor, &self.shared).await?;
             self.shared.borrow_mut().operator_connections.push(limiter);
         }
         if let Some(address) = self.addresses.admin {
-            let limiter = admin::open(address, &self.executor, &self.shared)?;
+            let limiter = admin::open(address, &self.executor, &self.shared).await?;
             self.shared.borrow_mut().operator_connections.push(limiter);
         }
         Ok(())
     }
 
     /// Begins to accept clients, on the inherited socket or on one of its own.
-    fn open_client_listener(&self) -> io::Result<Rc<Acceptor<Dispatch>>> {
-        let listener = self.client_listener()?;
+    async fn open_client_listener(&self) -> io::Result<Rc<Acceptor<Dispatch>>> {
+        let listener = self.client_listener().await?;
         let acceptor = Acceptor::new(listener, self.shared.clone(), self.executor.clone());
         let acceptor = Rc::new(acceptor);
         let accepting = acceptor.clone();
@@ -149,14 +153,15 @@
         Ok(acceptor)
     }
 
-    fn client_listener(&self) -> io::Result<Async<TcpListener>> {
+    async fn client_listener(&self) -> io::Result<Async<TcpListener>> {
         let listen = self.addresses.listen;
-        if let Some(inherited) = inherit::listener(listen)? {
+        if let Some(inherited) = inherit::listener(listen).await? {
             self.shared.borrow_mut().shares_listener = true;
             inherit::meet(&self.addresses.name, &self.executor, &self.shared);
             return Ok(inherited);
         }
-        accept::listen(listen)
+        retry("listen", || accept::listen(listen))
+            .await
             .map_err(|e| io::Error::new(e.kind(), format!("listen: {listen}: {e}")))
     }
 
@@ -179,20 +184,23 @@
         new_addresses
     }
 
-    /// Begins to handle signals: SIGHUP reads the configuration again, the others begin the shutdown.
+    /// Begins to handle signals: SIGHUP reads the configuration again, the others begin the shutdown. A file that cannot
+    /// be read for a while delays no shutdown.
     fn handle_signals(
         &self,
         mut signals: Signals,
         path: Option<PathBuf>,
         new_addresses: Sender<SocketAddr>,
     ) {
+        let (reload_requests, receiver) = async_channel::unbounded();
+        let reloading = reload_on_request(self.shared.clone(), path, receiver, new_addresses);
+        self.executor.spawn(reloading).detach();
         let shared = self.shared.clone();
         let handling = async move {
             while let Some(signal) = signals.next().await {
-                let mut dispatch = shared.borrow_mut();
                 match signal {
-                    Ok(Signal::Hup) => reload(&mut dispatch, path.as_deref(), &new_addresses),
-                    Ok(_) => dispatch.terminate(),
+                    Ok(Signal::Hup) => drop(reload_requests.try_send(())),
+                    Ok(_) => shared.borrow_mut().terminate(),
                     // No signal was read: nobody has asked for the shutdown.
                     Err(error) => warn!(reason = %error.kind(), "signal not read"),
                 }
@@ -218,15 +226,22 @@
     }
 }
 
-/// Reads the configuration again: the feed and the limits are taken over, all else stays as it was at the start. Guards
-/// against a file that can't be read: the one before stays in force.
-fn reload(dispatch: &mut Dispatch, path: Option<&Path>, new_addresses: &Sender<SocketAddr>) {
-    match config::load(path) {
-        Ok(config) => {
-            info!(feed = %config.feed, "configuration read again");
-            dispatch.apply_limits(config.limits);
-            let _ = new_addresses.try_send(config.feed);
+/// Reads the configuration again for each request: the feed and the limits are taken over, all else stays as it was at the
+/// start. Guards against a file that can't be read: the one before stays in force.
+async fn reload_on_request(
+    shared: Shared,
+    path: Option<PathBuf>,
+    requests: Receiver<()>,
+    new_addresses: Sender<SocketAddr>,
+) {
+    while requests.recv().await.is_ok() {
+        match config::load(path.as_deref()).await {
+            Ok(config) => {
+                info!(feed = %config.feed, "configuration read again");
+                shared.borrow_mut().apply_limits(config.limits);
+                let _ = new_addresses.try_send(config.feed);
+            }
+            Err(problem) => warn!(%problem, "configuration not read again"),
         }
-        Err(problem) => warn!(%problem, "configuration not read again"),
     }
 }
--- a/src/net/system_error.rs
+++ b/src/net/system_error.rs
@@ -15,6 +15,16 @@
     Errno::INTR,
 ];
 
+/// What a call may be made again for: something is short that comes back, or a signal came.
+const TEMPORARY: [Errno; 6] = [
+    Errno::NOBUFS,
+    Errno::NOMEM,
+    Errno::ADDRNOTAVAIL,
+    Errno::AGAIN,
+    Errno::INTR,
+    Errno::IO,
+];
+
 /// Whether the process or the machine has no descriptor left.
 pub fn is_out_of_descriptors(error: &io::Error) -> bool {
     has_code(error, &OUT_OF_DESCRIPTORS)
@@ -25,6 +35,11 @@
     is_out_of_descriptors(error) || has_code(error, &LOCAL_FAULTS)
 }
 
+/// Whether the same call may succeed a moment later.
+pub fn is_temporary(error: &io::Error) -> bool {
+    is_out_of_descriptors(error) || has_code(error, &TEMPORARY)
+}
+
 fn has_code(error: &io::Error, codes: &[Errno]) -> bool {
     let code = error.raw_os_error();
     code.is_some_and(|code| codes.iter().any(|known| known.raw_os_error() == code))
--- a/src/net/system_error/tests.rs
+++ b/src/net/system_error/tests.rs
@@ -44,3 +44,19 @@
     assert!(!is_out_of_descriptors(&error(Errno::CONNABORTED)));
     assert!(!is_out_of_descriptors(&error(Errno::NOBUFS)));
 }
+
+#[test]
+fn call_is_repeated_for_what_comes_back_and_not_for_a_mistake() {
+    for code in [
+        Errno::MFILE,
+        Errno::NFILE,
+        Errno::NOBUFS,
+        Errno::IO,
+        Errno::INTR,
+    ] {
+        assert!(is_temporary(&error(code)), "{code}");
+    }
+    for code in [Errno::ADDRINUSE, Errno::ACCESS, Errno::NOENT, Errno::INVAL] {
+        assert!(!is_temporary(&error(code)), "{code}");
+    }
+}
--- a/tests/endings/process.rs
+++ b/tests/endings/process.rs
@@ -40,6 +40,23 @@
     assert!(program.wait_exit().success());
 }
 
+// Regression: one failed call of the system ended the start, although it would have succeeded a moment later. The evidence
+// was `can't serve` with the system's text for a lack of descriptors, and no later line.
+#[test]
+fn start_waits_for_what_the_system_lacks_for_a_moment() {
+    let mut feed = Feed::new();
+    let host = Host::new("h0", "north");
+    let config = single_placer_config(&feed, vec![host.entry("up", 0)]);
+    // Enough for the event loop, and not for the signals beside it.
+    let program = Launch::new(&config).descriptors(12).start();
+    wait_for("the event loop is up", || {
+        (program.descriptors() >= 6).then_some(())
+    });
+    program.set_descriptor_limit(256);
+    assert_eq!(feed.accept_subscription(), 1);
+    assert!(checked_client(&program).health_check());
+}
+
 /// Starts a program whose configuration is a pipe: it has begun to read once the pipe can be opened for writing.
 fn start_reading_from_a_pipe(config: &simd_json::OwnedValue) -> (Program, std::path::PathBuf) {
     let pipe = temp_path("pipe");
