--- a/tests/endings/main.rs
+++ b/tests/endings/main.rs
@@ -3,6 +3,7 @@
 
 #![recursion_limit = "256"]
 
+mod accept_queue;
 mod disconnected_clients;
 mod feed;
 mod host_connections;
