Count the time in the accept queue where accepting fails or waits for a descriptor

Cause: a request's time ran from when it was read, also where its connection had waited in the accept queue. AcceptDelay knows since when accepting has failed and since when the first connection has waited for a descriptor; the first input of what is accepted then counts from there. What is not known is for how long connections behind the first one have waited while every descriptor is in use.

--- a/src/net/admin.rs
+++ b/src/net/admin.rs
@@ -1,7 +1,7 @@
 //! Owns the listener where operators and the platform connect: one command a connection, one line, and its reply. What
 //! a command does is up to dispatch.
 
-use super::clients::accept::pause_after_accept_error;
+use super::clients::accept_fault::pause_after_accept_error;
 use super::codec;
 use super::dispatch::{MAX_ADMIN_CONNECTIONS, Shared};
 use super::health::connection_limiter::{ConnectionLimiter, ConnectionPermit};
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -7,6 +7,8 @@
 //! are idle or in the way.
 
 pub mod accept;
+mod accept_delay;
+pub mod accept_fault;
 mod events;
 mod id;
 mod idle;
--- a/src/net/clients/accept.rs
+++ b/src/net/clients/accept.rs
@@ -1,20 +1,21 @@
 //! Listens for clients, accepts their connections within the limit, and serves each until it ends.
 
+use super::accept_delay::AcceptDelay;
+use super::accept_fault::{ACCEPT_RETRY_PAUSE, log_accept_error, make_room};
 use super::events::{AcceptWait, ClientEvents};
 use super::id::ClientId;
 use super::read_summary::ReadSummary;
 use crate::net::codec::binary;
 use crate::net::conn::{CloseReason, Connection};
-use crate::net::system_error::is_out_of_descriptors;
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use futures_lite::future;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::io::{self, ErrorKind};
 use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
 use std::time::Duration;
-use tracing::{info, warn};
+use tracing::info;
 
 /// Connections that may wait to be accepted. The standard library asks for 128, and clients come back by hundreds where
 /// placers were killed together; the system takes off what exceeds its own limit.
@@ -25,14 +26,13 @@
 const MAX_SHUTDOWN_CHECKS: u32 = 10;
 /// The time between two of these checks.
 const SHUTDOWN_CHECK_INTERVAL: Duration = Duration::from_millis(10);
-/// Pause after a failed accept, where no connection could be evicted.
-const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(20);
 
 /// Accepts connections from clients on one listening socket.
 pub struct Acceptor<H> {
     listener: Async<TcpListener>,
     handler: Rc<RefCell<H>>,
     executor: Rc<LocalExecutor<'static>>,
+    delay: Cell<AcceptDelay>,
 }
 
 /// Listens for clients.
@@ -53,6 +53,7 @@
             listener,
             handler,
             executor,
+            delay: Cell::default(),
         }
     }
 
@@ -64,7 +65,7 @@
     pub async fn run(&self) {
         loop {
             if let Err(error) = self.listener.readable().await {
-                pause_after_accept_error(&self.handler, &error).await;
+                self.recover(&error).await;
                 continue;
             }
             for turn in 0..MAX_ACCEPTS_PER_TURN {
@@ -76,12 +77,15 @@
                 if turn > 0 && self.handler.borrow().client_limit_reached() {
                     break;
                 }
-                wait_for_descriptor(&self.handler).await;
+                self.wait_for_descriptor().await;
                 match self.accept_one() {
                     Ok(()) => {}
-                    Err(error) if error.kind() == ErrorKind::WouldBlock => break,
+                    Err(error) if error.kind() == ErrorKind::WouldBlock => {
+                        self.update_delay(|delay| delay.queue_emptied());
+                        break;
+                    }
                     Err(error) => {
-                        pause_after_accept_error(&self.handler, &error).await;
+                        self.recover(&error).await;
                         break;
                     }
                 }
@@ -90,11 +94,57 @@
         }
     }
 
+    /// Waits until another connection is within the limit.
+    async fn wait_for_descriptor(&self) {
+        let handler = &self.handler;
+        let mut wait = AcceptWait::None;
+        loop {
+            let is_full = handler.borrow().client_limit_reached();
+            let now = handler.borrow().now();
+            if !is_full || handler.borrow().clients().evict_idle(now, 1) > 0 {
+                handler.borrow_mut().client_accepted(now, wait);
+                if is_full {
+                    // The evicted one gives its descriptor back first.
+                    future::yield_now().await;
+                }
+                return;
+            }
+            if wait == AcceptWait::None {
+                info!(peer = "client", reason = %CloseReason::Evicted, "connection waits");
+            }
+            wait = AcceptWait::Waited;
+            self.update_delay(|delay| delay.waits_for_descriptor(now));
+            Timer::after(ACCEPT_RETRY_PAUSE).await;
+        }
+    }
+
+    /// Pauses after a failure, unless it may be gone at the next try. Connections are evicted only for one that lasts.
+    async fn recover(&self, error: &io::Error) {
+        let now = self.handler.borrow().now();
+        let pause = self.update_delay(|delay| delay.failed(now));
+        if pause.is_zero() {
+            return future::yield_now().await;
+        }
+        log_accept_error(error);
+        if !make_room(&self.handler, error) {
+            Timer::after(pause).await;
+        }
+    }
+
+    fn update_delay<T>(&self, update: impl FnOnce(&mut AcceptDelay) -> T) -> T {
+        let mut delay = self.delay.get();
+        let result = update(&mut delay);
+        self.delay.set(delay);
+        result
+    }
+
     /// Accepts a connection that waits. It counts from here on, not from when its task first runs.
     fn accept_one(&self) -> io::Result<()> {
         let (stream, _) = self.listener.get_ref().accept()?;
         let conn = Rc::new(Connection::new(Async::new(stream)?));
-        let id = self.handler.borrow_mut().client_opened(conn.clone());
+        let waits_since = self.update_delay(AcceptDelay::accepted);
+        let mut handler = self.handler.borrow_mut();
+        let id = handler.client_opened(conn.clone(), waits_since);
         self.executor
             .spawn(serve(id, conn, self.handler.clone()))
             .detach();
@@ -136,69 +186,6 @@
     }
 }
 
-/// Waits until another connection is within the limit.
-async fn wait_for_descriptor<H: ClientEvents>(handler: &Rc<RefCell<H>>) {
-    let mut wait = AcceptWait::None;
-    loop {
-        let is_full = handler.borrow().client_limit_reached();
-        let now = handler.borrow().now();
-        if !is_full || handler.borrow().clients().evict_idle(now, 1) > 0 {
-            handler.borrow_mut().client_accepted(now, wait);
-            if is_full {
-                // The evicted one gives its descriptor back first.
-                future::yield_now().await;
-            }
-            return;
-        }
-        if wait == AcceptWait::None {
-            info!(peer = "client", reason = %CloseReason::Evicted, "connection waits");
-        }
-        wait = AcceptWait::Waited;
-        Timer::after(ACCEPT_RETRY_PAUSE).await;
-    }
-}
-
-/// What every listener does where accepting fails: if no descriptor is left, it evicts an idle connection of a client for
-/// the next, or waits a little where there is none. Other failures concern one connection that has ended already, or pass.
-pub async fn pause_after_accept_error<H: ClientEvents>(
-    handler: &Rc<RefCell<H>>,
-    error: &io::Error,
-) {
-    let now = handler.borrow().now();
-    warn!(reason = %error.kind(), code = error.raw_os_error(), "accept failed");
-    let fault = AcceptFault::of(error);
-    if fault == AcceptFault::ConnectionEnded {
-        return;
-    }
-    if fault == AcceptFault::NoDescriptor && handler.borrow().clients().evict_idle(now, 1) > 0 {
-        return;
-    }
-    Timer::after(ACCEPT_RETRY_PAUSE).await;
-}
-
-/// What a failed accept is about.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum AcceptFault {
-    /// The connection that waited has ended, or the call was interrupted: the next one may be accepted at once.
-    ConnectionEnded,
-    /// The process or the system has no descriptor left.
-    NoDescriptor,
-    /// The system is out of something for a moment.
-    Temporary,
-}
-
-impl AcceptFault {
-    fn of(error: &io::Error) -> AcceptFault {
-        if is_out_of_descriptors(error) {
-            return AcceptFault::NoDescriptor;
-        }
-        match error.kind() {
-            ErrorKind::ConnectionAborted | ErrorKind::Interrupted => AcceptFault::ConnectionEnded,
-            _ => AcceptFault::Temporary,
-        }
-    }
-}
-
 /// Serves a connection until it ends.
 async fn serve<H: ClientEvents>(id: ClientId, conn: Rc<Connection>, handler: Rc<RefCell<H>>) {
     let mut partial_bytes = 0;
--- /dev/null
+++ b/src/net/clients/accept_delay/tests.rs
@@ -0,0 +1,34 @@
+//! Tests of `accept_delay.rs`.
+
+use super::*;
+
+#[test]
+fn after_failures_all_that_waits_may_have_come_with_the_first() {
+    let mut delay = AcceptDelay::default();
+    assert_eq!(delay.accepted(), None);
+    delay.failed(100);
+    delay.failed(200);
+    assert_eq!((delay.accepted(), delay.accepted()), (Some(100), Some(100)));
+    delay.queue_emptied();
+    assert_eq!(delay.accepted(), None);
+}
+
+#[test]
+fn wait_for_a_descriptor_is_known_of_the_first_connection_only() {
+    let mut delay = AcceptDelay::default();
+    delay.waits_for_descriptor(100);
+    delay.waits_for_descriptor(200);
+    assert_eq!((delay.accepted(), delay.accepted()), (Some(100), None));
+}
+
+#[test]
+fn pauses_begin_after_some_failures_in_a_row_and_are_bounded() {
+    let mut delay = AcceptDelay::default();
+    let pauses: Vec<Duration> = (0..40).map(|now| delay.failed(now)).collect();
+    let immediate = IMMEDIATE_RETRIES as usize;
+    assert!(pauses[..immediate].iter().all(Duration::is_zero));
+    assert_eq!(pauses[immediate], MIN_RETRY_PAUSE);
+    assert_eq!(pauses.last(), Some(&MAX_RETRY_PAUSE));
+    delay.accepted();
+    assert!(delay.failed(50).is_zero());
+}
--- a/src/net/clients/events.rs
+++ b/src/net/clients/events.rs
@@ -41,8 +41,8 @@
     /// There is a free descriptor for a connection that is to be accepted.
     fn client_accepted(&mut self, now: Micros, wait: AcceptWait);
 
-    /// A connection has been accepted.
-    fn client_opened(&mut self, conn: Rc<Connection>) -> ClientId;
+    /// A connection has been accepted. It and its first input may have been waiting since the time stated, if one is.
+    fn client_opened(&mut self, conn: Rc<Connection>, waits_since: Option<Micros>) -> ClientId;
 
     /// A message has arrived.
     fn client_message(&mut self, client: ClientId, id: TaskId, message: ClientMessage);
--- a/src/net/clients/status/tests.rs
+++ b/src/net/clients/status/tests.rs
@@ -20,6 +20,7 @@
     let id = clients.insert(
         0,
         Rc::new(Connection::new(Async::new(stream).expect("a socket"))),
+        None,
     );
     (clients, id, peer)
 }
--- a/src/net/clients/table.rs
+++ b/src/net/clients/table.rs
@@ -32,6 +32,8 @@
     pub(super) acknowledges_ends: Option<bool>,
     /// Running tasks that were requested or adopted on it.
     pub(super) running_tasks: usize,
+    /// Since when its first input may have been waiting, until that is read.
+    pub(super) input_waits_since: Option<Micros>,
     /// Bytes that were read from it.
     pub(super) bytes_read: u64,
     /// What arrived with the last read is being processed.
@@ -41,7 +43,8 @@
 }
 
 impl Client {
-    fn new(now: Micros, conn: Rc<Connection>) -> Client {
+    fn new(now: Micros, conn: Rc<Connection>, waits_since: Option<Micros>) -> Client {
+        let has_input = !conn.has_no_unread_input();
         Client {
             conn,
             pending_responses: BTreeSet::new(),
@@ -52,6 +55,7 @@
             is_proven: false,
             acknowledges_ends: None,
             running_tasks: 0,
+            input_waits_since: waits_since.filter(|_| has_input),
             bytes_read: 0,
             is_processing: false,
             waiting_hosts: BTreeSet::new(),
@@ -99,11 +103,17 @@
         }
     }
 
-    /// Adds a connection.
-    pub fn insert(&mut self, now: Micros, conn: Rc<Connection>) -> ClientId {
+    /// Adds a connection. It and its first input may have been waiting since the time stated, if one is.
+    pub fn insert(
+        &mut self,
+        now: Micros,
+        conn: Rc<Connection>,
+        waits_since: Option<Micros>,
+    ) -> ClientId {
         let id = ClientId(self.next_id);
         self.next_id += 1;
-        self.connections.insert(id, Client::new(now, conn));
+        self.connections
+            .insert(id, Client::new(now, conn, waits_since));
         id
     }
 
@@ -129,6 +139,11 @@
         }
     }
 
+    /// Returns since when the input of a connection may have been waiting that is read now, where that is known.
+    pub fn input_waits_since(&self, id: ClientId) -> Option<Micros> {
+        self.connections.get(&id)?.input_waits_since
+    }
+
     /// Records what one read brought, once all its messages have been processed.
     pub fn input_read(&mut self, now: Micros, id: ClientId, summary: ReadSummary) {
         let Some(client) = self.connections.get_mut(&id) else {
@@ -137,6 +152,7 @@
         if summary.has_message {
             client.last_message_at = now;
             client.has_sent_message = true;
+            client.input_waits_since = None;
         }
         client.message_awaited_since = match client.message_awaited_since {
             Some(since) if summary.has_partial_message && !summary.has_message => Some(since),
--- a/src/net/ctl.rs
+++ b/src/net/ctl.rs
@@ -1,7 +1,7 @@
 //! Owns the control socket: a Unix socket that only its owner may use. A connection sends any number of commands, one a
 //! line, and gets a reply to each. What a command does is up to dispatch.
 
-use super::clients::accept::pause_after_accept_error;
+use super::clients::accept_fault::pause_after_accept_error;
 use super::codec;
 use super::dispatch::Shared;
 use super::health::connection_limiter::{ConnectionLimiter, ConnectionPermit};
--- a/src/net/dispatch/client_messages.rs
+++ b/src/net/dispatch/client_messages.rs
@@ -56,8 +56,8 @@
         );
     }
 
-    fn client_opened(&mut self, conn: Rc<Connection>) -> ClientId {
-        self.clients.insert(self.clock.now(), conn)
+    fn client_opened(&mut self, conn: Rc<Connection>, waits_since: Option<Micros>) -> ClientId {
+        self.clients.insert(self.clock.now(), conn, waits_since)
     }
 
     fn client_message(&mut self, client: ClientId, id: TaskId, message: ClientMessage) {
@@ -174,7 +174,7 @@
         message: Box<TaskRequest>,
     ) {
         let mut placement = message.placement.clone();
-        let spent = RESPONSE_TRAVEL_TIME + self.loop_lag.max_wait(now);
+        let spent = RESPONSE_TRAVEL_TIME + self.max_input_wait(now, client);
         placement.time_budget = (message.wait - spent).max(0);
         if let Err(reason) = self.check_task_request(id, &message, &placement) {
             info!(task = %id, %reason, "not placed");
@@ -191,6 +191,12 @@
         self.apply_decisions(now, decisions.unwrap_or_default());
     }
 
+    /// Returns for how long what is read now from a client may have been waiting at most.
+    fn max_input_wait(&self, now: Micros, client: ClientId) -> Micros {
+        let waits_since = self.clients.input_waits_since(client).unwrap_or(now);
+        self.loop_lag.max_wait(now).max(now - waits_since)
+    }
+
     fn check_task_request(
         &self,
         id: TaskId,
--- a/src/net/health/mod.rs
+++ b/src/net/health/mod.rs
@@ -9,7 +9,7 @@
 pub mod reporter;
 mod state_json;
 
-use super::clients::accept::pause_after_accept_error;
+use super::clients::accept_fault::pause_after_accept_error;
 use super::dispatch::Shared;
 use super::retry::retry;
 use crate::operator;
--- a/src/net/inherit.rs
+++ b/src/net/inherit.rs
@@ -5,7 +5,7 @@
 //! connection over a Unix socket in `$TMPDIR` to the one before it: it ends with either of them, however that ends, so
 //! both know how many they are without polling.
 
-use super::clients::accept::pause_after_accept_error;
+use super::clients::accept_fault::pause_after_accept_error;
 use super::dispatch::Shared;
 use super::retry::retry;
 use async_executor::LocalExecutor;
