After a stall, read all that a client's buffer may hold before an attempt for it

Cause: at most 256 KiB of a client's input were read before an attempt; after a stall of this process a cancellation behind more than that may be over 100 ms old when the attempt begins. Where input may have waited for 50 ms or more, the limit is 16 MiB. Test: after_a_stall_all_that_a_buffer_may_hold_is_read_before_an_attempt.

--- a/src/net/clients/status.rs
+++ b/src/net/clients/status.rs
@@ -3,11 +3,16 @@
 use super::id::ClientId;
 use super::table::Clients;
 use crate::net::conn::Unread;
-use task_placer::HostId;
+use task_placer::{HostId, Micros};
 
 /// How much of what a client has sent may be read before an attempt for it is sent: more than a system's usual buffer.
 /// Guards the attempts of a client that sends faster than it is read.
 const MAX_READ_AHEAD_BYTES: u64 = 256 * 1024;
+/// The same after a stall of this process: more than a system's largest buffer, since all that waits in it is old.
+const MAX_READ_AHEAD_AFTER_STALL_BYTES: u64 = 16 * 1024 * 1024;
+/// Input that has waited for so long may hold a cancellation that has to take effect at once: within 100 ms (the
+/// protocol's figure).
+const LONG_INPUT_WAIT: Micros = 50_000;
 
 /// How far a client must be read until an attempt for it may be sent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -40,7 +45,14 @@
     /// request and its cancellation arrive in one read, and after a stall of this process hosts may be read before
     /// clients are. What the client had sent by the time of the first look (`mark`) is read before the attempt is sent;
     /// what it sends later is not waited for, or one that never pauses would hold up its own attempts.
-    pub fn status(&mut self, id: ClientId, mark: Option<ReadMark>, host: &HostId) -> ClientStatus {
+    /// `input_wait` is for how long unread input may have been waiting.
+    pub fn status(
+        &mut self,
+        id: ClientId,
+        mark: Option<ReadMark>,
+        host: &HostId,
+        input_wait: Micros,
+    ) -> ClientStatus {
         let client = self.connections.get_mut(&id);
         let Some(client) = client.filter(|client| !client.conn.is_closing()) else {
             return ClientStatus::Disconnected;
@@ -64,7 +76,12 @@
         if mark.is_some_and(|mark| bytes_read < mark.position) {
             return ClientStatus::UnreadInput(mark);
         }
-        let max_position = mark.map_or(bytes_read.saturating_add(MAX_READ_AHEAD_BYTES), |mark| {
+        let max_read_ahead = if input_wait >= LONG_INPUT_WAIT {
+            MAX_READ_AHEAD_AFTER_STALL_BYTES
+        } else {
+            MAX_READ_AHEAD_BYTES
+        };
+        let max_position = mark.map_or(bytes_read.saturating_add(max_read_ahead), |mark| {
             mark.max_position
         });
         ClientStatus::UnreadInput(Some(ReadMark {
--- a/src/net/clients/status/tests.rs
+++ b/src/net/clients/status/tests.rs
@@ -25,14 +25,14 @@
     (clients, id, peer)
 }
 
-#[test]
-fn client_that_never_pauses_is_waited_for_up_to_a_limit() {
+/// Returns how many reads of a client that never pauses are waited for, whose input has waited for this long.
+fn awaited_reads(input_wait: Micros) -> u64 {
     let (mut clients, id, mut peer) = client();
     let host = HostId(Arc::from("h0"));
     peer.write_all(&[0; 8 * CHUNK_BYTES]).expect("it has room");
     let (mut mark, mut reads) = (None, 0);
     // As much as before waits each time that some was read.
-    while let ClientStatus::UnreadInput(next) = clients.status(id, mark, &host) {
+    while let ClientStatus::UnreadInput(next) = clients.status(id, mark, &host, input_wait) {
         mark = next;
         assert_eq!(
             clients.input_processed(id, CHUNK_BYTES).len(),
@@ -40,20 +40,31 @@
             "the host where it waits"
         );
         reads += 1;
-        assert!(
-            reads <= MAX_READ_AHEAD_BYTES as usize / CHUNK_BYTES,
-            "{reads} reads"
-        );
+        assert!(reads < 10_000, "{reads} reads");
     }
-    assert_eq!(clients.status(id, mark, &host), ClientStatus::Connected);
-    assert_eq!(reads, MAX_READ_AHEAD_BYTES as usize / CHUNK_BYTES);
+    assert_eq!(clients.status(id, mark, &host, 0), ClientStatus::Connected);
+    reads
+}
+
+#[test]
+fn client_that_never_pauses_is_waited_for_up_to_a_limit() {
+    let limit = MAX_READ_AHEAD_BYTES / CHUNK_BYTES as u64;
+    assert_eq!(awaited_reads(0), limit);
+    assert_eq!(awaited_reads(LONG_INPUT_WAIT - 1), limit);
+}
+
+// Regression: after a stall, a cancellation behind more input than the limit was read only after the attempt was sent.
+#[test]
+fn after_a_stall_all_that_a_buffer_may_hold_is_read_before_an_attempt() {
+    let limit = MAX_READ_AHEAD_AFTER_STALL_BYTES / CHUNK_BYTES as u64;
+    assert_eq!(awaited_reads(LONG_INPUT_WAIT), limit);
 }
 
 /// A client that has sent ten bytes, and the mark that an attempt for it waits for.
 fn client_with_unread_input(host: &HostId) -> (Clients, ClientId, TcpStream, Option<ReadMark>) {
     let (mut clients, id, mut peer) = client();
     peer.write_all(&[0; 10]).expect("it has room");
-    let ClientStatus::UnreadInput(mark @ Some(_)) = clients.status(id, None, host) else {
+    let ClientStatus::UnreadInput(mark @ Some(_)) = clients.status(id, None, host, 0) else {
         panic!("ten bytes wait")
     };
     (clients, id, peer, mark)
@@ -64,9 +75,9 @@
     let host = HostId(Arc::from("h0"));
     let (mut clients, id, _peer, mark) = client_with_unread_input(&host);
 
-    let before = clients.status(id, mark, &host);
+    let before = clients.status(id, mark, &host, 0);
     clients.input_processed(id, 10);
-    let after = clients.status(id, mark, &host);
+    let after = clients.status(id, mark, &host, 0);
 
     assert_eq!(before, ClientStatus::UnreadInput(mark), "nothing was read");
     assert_eq!(after, ClientStatus::Connected);
@@ -82,7 +93,7 @@
         ..mark
     });
 
-    let status = clients.status(id, other, &host);
+    let status = clients.status(id, other, &host, 0);
 
     assert!(matches!(status, ClientStatus::UnreadInput(Some(_))));
 }
@@ -95,7 +106,7 @@
     drop(peer);
     clients.input_processing_started(id);
 
-    let status = clients.status(id, mark, &host);
+    let status = clients.status(id, mark, &host, 0);
 
     assert!(
         matches!(status, ClientStatus::UnreadInput(_)),
@@ -108,7 +119,7 @@
     let (mut clients, _, _peer) = client();
     let host = HostId(Arc::from("h0"));
 
-    let status = clients.status(ClientId(9), None, &host);
+    let status = clients.status(ClientId(9), None, &host, 0);
 
     assert_eq!(status, ClientStatus::Disconnected);
 }
--- a/src/net/dispatch/attempts.rs
+++ b/src/net/dispatch/attempts.rs
@@ -146,7 +146,11 @@
                 ..pending
             })
         };
-        match self.clients.status(client, pending.read_mark, host) {
+        let input_wait = self.loop_lag.max_wait(now);
+        let status = self
+            .clients
+            .status(client, pending.read_mark, host, input_wait);
+        match status {
             ClientStatus::Disconnected => SendResult::ClientDisconnected,
             ClientStatus::UnreadInput(read_mark) => still_pending(read_mark),
             ClientStatus::Connected if !conn.is_flushed() => {
