--- a/src/net/conn/tests.rs
+++ b/src/net/conn/tests.rs
@@ -1,6 +1,10 @@
 //! Tests of `conn.rs`: writing through a bounded queue, and what is read before the end of a connection.
 
+use super::reading::CHUNK_BYTES;
+use super::writing::MAX_QUEUED_BYTES;
 use super::*;
+use futures_lite::future;
+use std::io::Write;
 use std::net::TcpListener;
 
 /// A connection, and the peer's end of it, which reads nothing.
