A host connection closed for a fault is read to its end before or beside the next one

Cause: hosts repeat ends of tasks on the next connection that opens. Where this process closes one, as for an unreadable answer, the next opened at once; what the host still wrote to the closed one was lost, and repeated only when another connection happened to open. The next one now waits for the host's close for up to 50 ms, and if that comes later, another follows. A failed test prints the end of its program's log, which was missing when a start hung once.

--- a/crates/emulator/src/program.rs
+++ b/crates/emulator/src/program.rs
@@ -12,6 +12,9 @@
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
+/// Lines of the program's log that a failed test prints.
+const MAX_PRINTED_LINES: usize = 60;
+
 /// Returns the path of the program under test: `TASK_PLACER_BIN`, or the one built with the running test.
 ///
 /// # Panics
@@ -277,6 +280,16 @@
         (self.cpu_time() - before).as_secs_f64() * 1e6 / f64::from(count)
     }
 
+    /// Prints what explains a failed test: whether it runs, and the end of its log.
+    fn print_state(&mut self) {
+        let exit = self.child.try_wait();
+        let log = std::fs::read_to_string(&self.log).unwrap_or_default();
+        let lines: Vec<&str> = log.lines().collect();
+        let last = lines.len().saturating_sub(MAX_PRINTED_LINES);
+        eprintln!("program {}: exit {exit:?}; its log ends:", self.child.id());
+        lines[last..].iter().for_each(|line| eprintln!("  {line}"));
+    }
+
     /// Returns its log so far.
     pub fn log(&self) -> String {
         std::fs::read_to_string(&self.log).unwrap_or_default()
@@ -371,6 +384,9 @@
 
 impl Drop for Program {
     fn drop(&mut self) {
+        if std::thread::panicking() {
+            self.print_state();
+        }
         let _ = self.child.kill();
         let _ = self.child.wait();
         self.files
--- a/src/net/conn/close_reason.rs
+++ b/src/net/conn/close_reason.rs
@@ -39,6 +39,20 @@
     IdInUse,
 }
 
+impl CloseReason {
+    /// Whether this process closed the connection for what its peer did or failed to do.
+    pub fn is_fault_of_peer(self) -> bool {
+        matches!(
+            self,
+            CloseReason::QueueFull
+                | CloseReason::WriteStalled
+                | CloseReason::Malformed(_)
+                | CloseReason::Silent
+                | CloseReason::HandshakeTimeout
+        )
+    }
+}
+
 impl fmt::Display for CloseReason {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
--- a/src/net/conn/reading.rs
+++ b/src/net/conn/reading.rs
@@ -170,6 +170,15 @@
         future::or(self.flush_and_read_to_end(), limit).await;
     }
 
+    /// Closes our side without what is still queued, and discards what arrives until the peer closes, for a bounded time.
+    pub async fn discard_until_closed(&self) {
+        self.shutdown_write();
+        let limit = async {
+            Timer::after(SHUTDOWN_READ_TIMEOUT).await;
+        };
+        future::or(self.read_to_end(), limit).await;
+    }
+
     /// Closes our side and waits for the peer to close, for a bounded time, without reading what it still sends. Guards
     /// against the reset that closing at once could send: it can take a message along that the peer has not read yet.
     pub async fn close_unread(&self) {
@@ -188,6 +197,10 @@
             }
         }
         self.shutdown_write();
+        self.read_to_end().await;
+    }
+
+    async fn read_to_end(&self) {
         let (mut inbox, mut total) = (Vec::new(), 0);
         while let Ok(count) = self.read_some(&mut inbox).await {
             total += count;
--- a/src/net/dispatch/host_connections.rs
+++ b/src/net/dispatch/host_connections.rs
@@ -153,6 +153,10 @@
         }
     }
 
+    fn host_stopped_sending(&mut self, host: &HostId) {
+        self.request_repeated_ends(self.clock.now(), host);
+    }
+
     fn host_descriptor_released(&mut self, host: &HostId, id: ConnectionId) {
         self.release_slot(host, id);
     }
--- a/src/net/hosts.rs
+++ b/src/net/hosts.rs
@@ -13,12 +13,14 @@
 use super::conn::{CloseReason, Connection};
 use super::system_error::{is_local_fault, is_out_of_descriptors};
 use async_channel::{Receiver, Sender};
-use async_io::Async;
+use async_io::{Async, Timer};
 use futures_lite::future;
 use std::cell::RefCell;
 use std::io::{self, ErrorKind};
 use std::net::{SocketAddr, TcpStream};
+use std::pin::{Pin, pin};
 use std::rc::Rc;
+use std::time::Duration;
 use task_placer::facade::Ticket;
 use task_placer::{CellId, EndpointState, HostId, Micros, Resources, ZoneId};
 
@@ -29,6 +31,9 @@
 /// The backoff is not computed for more doublings than these.
 const MAX_BACKOFF_DOUBLINGS: u32 = 8;
 
+/// How long a host may take to see that its connection was closed, before another is made.
+const CLOSE_NOTICE_TIME: Duration = Duration::from_millis(50);
+
 /// Identifies a connection among those to one host.
 pub type ConnectionId = u64;
 
@@ -60,6 +65,10 @@
     /// A connection that was in use has ended.
     fn host_closed(&mut self, host: &HostId, id: ConnectionId, reason: CloseReason);
 
+    /// A connection that this process closed for a fault was read to its end, after [`HostEvents::host_closed`]: what the
+    /// host had sent until it saw the close is lost.
+    fn host_stopped_sending(&mut self, host: &HostId);
+
     /// The descriptor of a connection, or of the attempt to make one, has been given back.
     fn host_descriptor_released(&mut self, host: &HostId, id: ConnectionId);
 }
@@ -336,7 +345,31 @@
         })
         .await;
     conn.close(reason);
+    if !reason.is_fault_of_peer() {
+        return handler.borrow_mut().host_closed(host, id, reason);
+    }
+    // A host repeats the ends of tasks on the next connection that opens. It must not open before the host has seen the
+    // close, or what the host writes until then is lost.
+    let mut shutdown = pin!(conn.discard_until_closed());
+    let is_seen = closes_within(shutdown.as_mut(), CLOSE_NOTICE_TIME).await;
     handler.borrow_mut().host_closed(host, id, reason);
+    if !is_seen {
+        shutdown.await;
+        handler.borrow_mut().host_stopped_sending(host);
+    }
+}
+
+/// Waits for the end of a connection for this long, and returns whether it has come.
+async fn closes_within(shutdown: Pin<&mut impl Future<Output = ()>>, limit: Duration) -> bool {
+    let closed = async {
+        shutdown.await;
+        true
+    };
+    let timeout = async {
+        Timer::after(limit).await;
+        false
+    };
+    future::or(closed, timeout).await
 }
 
 #[cfg(test)]
