Charge failed accepts by their length only; wait for unreadable connections only

From reading the change again: a failure counted until the queue was seen empty, which may take long while the limit is reached, and would have cut clients' time short. It counts by as long as it lasted. Silent and stalled connections are closed at once again: waiting would hold their descriptors and bring nothing.

--- a/src/net/clients/accept.rs
+++ b/src/net/clients/accept.rs
@@ -142,8 +142,9 @@
     fn accept_one(&self) -> io::Result<()> {
         let (stream, _) = self.listener.get_ref().accept()?;
         let conn = Rc::new(Connection::new(Async::new(stream)?));
-        let waits_since = self.update_delay(AcceptDelay::accepted);
         let mut handler = self.handler.borrow_mut();
+        let now = handler.now();
+        let waits_since = self.update_delay(|delay| delay.accepted(now));
         let id = handler.client_opened(conn.clone(), waits_since);
         self.executor
             .spawn(serve(id, conn, self.handler.clone()))
--- a/src/net/clients/accept_delay.rs
+++ b/src/net/clients/accept_delay.rs
@@ -20,8 +20,8 @@
 pub(super) struct AcceptDelay {
     /// Failures to accept in a row.
     failures: u32,
-    /// When the first failure was since the queue was last empty: whatever is in it may have come then.
-    failing_since: Option<Micros>,
+    /// When the first and the last failure were since the queue was last empty: whatever is in it may have come then.
+    failures_between: Option<(Micros, Micros)>,
     /// Since when the first connection in the queue has waited for a descriptor. Those behind it may have come later.
     first_waits_since: Option<Micros>,
 }
@@ -29,7 +29,8 @@
 impl AcceptDelay {
     /// Records that accepting failed, and returns the pause before the next try.
     pub(super) fn failed(&mut self, now: Micros) -> Duration {
-        self.failing_since.get_or_insert(now);
+        let first = self.failures_between.map_or(now, |(first, _)| first);
+        self.failures_between = Some((first, now));
         self.failures = self.failures.saturating_add(1);
         let Some(doublings) = self.failures.checked_sub(IMMEDIATE_RETRIES + 1) else {
             return Duration::ZERO;
@@ -44,12 +45,17 @@
     }
 
     /// Records that a connection was accepted, and returns since when it may have been waiting.
-    pub(super) fn accepted(&mut self) -> Option<Micros> {
+    ///
+    /// The failures have delayed it by as long as they lasted; what else it may have waited for is not known.
+    pub(super) fn accepted(&mut self, now: Micros) -> Option<Micros> {
         self.failures = 0;
         let first_waits_since = self.first_waits_since.take();
-        match (self.failing_since, first_waits_since) {
-            (Some(failing), Some(waiting)) => Some(failing.min(waiting)),
-            (failing, waiting) => failing.or(waiting),
+        let delayed_since = self
+            .failures_between
+            .map(|(first, last)| now - (last - first));
+        match (delayed_since, first_waits_since) {
+            (Some(delayed), Some(waiting)) => Some(delayed.min(waiting)),
+            (delayed, waiting) => delayed.or(waiting),
         }
     }
 
--- a/src/net/conn/close_reason.rs
+++ b/src/net/conn/close_reason.rs
@@ -40,15 +40,11 @@
 }
 
 impl CloseReason {
-    /// Whether this process closed the connection for what its peer did or failed to do.
-    pub fn is_fault_of_peer(self) -> bool {
+    /// Whether this process closed the connection since what its peer sent cannot be read; the peer may be sending on.
+    pub fn is_unreadable_input(self) -> bool {
         matches!(
             self,
-            CloseReason::QueueFull
-                | CloseReason::WriteStalled
-                | CloseReason::Malformed(_)
-                | CloseReason::Silent
-                | CloseReason::HandshakeTimeout
+            CloseReason::Malformed(_) | CloseReason::HandshakeTimeout
         )
     }
 }
--- a/src/net/hosts.rs
+++ b/src/net/hosts.rs
@@ -65,8 +65,8 @@
     /// A connection that was in use has ended.
     fn host_closed(&mut self, host: &HostId, id: ConnectionId, reason: CloseReason);
 
-    /// A connection that this process closed for a fault was read to its end, after [`HostEvents::host_closed`]: what the
-    /// host had sent until it saw the close is lost.
+    /// A connection that this process closed for unreadable input has ended at the host, too, some time after
+    /// [`HostEvents::host_closed`]: what the host sent until then is lost.
     fn host_stopped_sending(&mut self, host: &HostId);
 
     /// The descriptor of a connection, or of the attempt to make one, has been given back.
@@ -345,7 +345,7 @@
         })
         .await;
     conn.close(reason);
-    if !reason.is_fault_of_peer() {
+    if !reason.is_unreadable_input() {
         return handler.borrow_mut().host_closed(host, id, reason);
     }
     // A host repeats the ends of tasks on the next connection that opens. It must not open before the host has seen the
