The log goes on after a write to it has failed for a while

Cause: any error but EAGAIN and EINTR, as ENOSPC on a full disk, counted as a closed standard error and silenced the log for the life of the process. Only a reader that is gone (EPIPE) does now. Test: log_goes_on_when_the_disk_was_full_for_a_while failed before, passes now.

--- a/src/net/log.rs
+++ b/src/net/log.rs
@@ -3,7 +3,8 @@
 //! The one thread must not wait for whoever reads the log. A line is written only where the system takes it at once:
 //! standard error is polled first, and at most as many bytes are written as a pipe that is ready takes without a wait.
 //! The rest waits in a bounded queue that the wheel's ticks empty. Lines beyond the limit are dropped and counted, and the
-//! count is logged once there is capacity. A standard error that is closed drops all, and stops nothing.
+//! count is logged once there is capacity. A full disk is waited for likewise. A standard error whose reader is gone drops
+//! all, and stops nothing.
 
 use crate::operator::{self, LogFormat, LogLevel};
 use rustix::event::{PollFd, PollFlags, Timespec, poll};
@@ -64,8 +65,9 @@
                     self.bytes.drain(..count.min(self.bytes.len()));
                 }
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
-                Err(e) if e.kind() == ErrorKind::WouldBlock => return,
-                Err(_) => self.is_closed = true,
+                Err(e) if e.kind() == ErrorKind::BrokenPipe => self.is_closed = true,
+                // What fails now, as on a full disk, may pass: the lines wait like those of a slow reader.
+                Err(_) => return,
             }
         }
         if self.is_closed {
--- a/src/net/log/tests.rs
+++ b/src/net/log/tests.rs
@@ -48,6 +48,30 @@
     assert!(text.ends_with("log lines dropped dropped=3\n"), "{text}");
 }
 
+// Regression: a full disk at one write silenced the log for the life of the process.
+#[test]
+fn log_goes_on_when_the_disk_was_full_for_a_while() {
+    struct FullOnce(bool, Vec<u8>);
+    impl Write for FullOnce {
+        fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+            if std::mem::replace(&mut self.0, false) {
+                return Err(ErrorKind::StorageFull.into());
+            }
+            self.1.write(bytes)
+        }
+        fn flush(&mut self) -> io::Result<()> {
+            Ok(())
+        }
+    }
+    let mut queue = LineQueue::new(&operator::LogSettings::default());
+    let mut out = FullOnce(true, Vec::new());
+    queue.push(b"line 0\n");
+    queue.write_ready(&mut out, || true);
+    queue.push(b"line 1\n");
+    queue.write_ready(&mut out, || true);
+    assert_eq!(out.1, b"line 0\nline 1\n");
+}
+
 #[test]
 fn writer_that_is_not_ready_is_not_written_to_and_a_closed_one_drops_all() {
     struct Broken;
