Keep connections over reads and writes that fail for want of memory

Cause: one ENOBUFS or ENOMEM of recv or send ended the connection, and with a client's connection its open requests. They are tried again after 1 ms; what is queued waits. There is no test on a real process in the repository: it needs a library that is loaded before; the classification has a unit test.

--- a/src/net/conn.rs
+++ b/src/net/conn.rs
@@ -18,6 +18,9 @@
 use std::time::{Duration, Instant};
 use task_placer::Micros;
 
+/// The pause after a call of the system that failed for a moment.
+const TEMPORARY_FAULT_PAUSE: Duration = Duration::from_millis(1);
+
 /// A connection that is shared by the task that runs it and by those who write to it.
 pub struct Connection {
     stream: Async<TcpStream>,
--- a/src/net/conn/reading.rs
+++ b/src/net/conn/reading.rs
@@ -1,6 +1,7 @@
 //! Reading: in chunks, until the peer or this process ends the connection, and what is read after that.
 
-use super::{CloseReason, Connection};
+use super::{CloseReason, Connection, TEMPORARY_FAULT_PAUSE};
+use crate::net::system_error::is_short_of_memory;
 use async_io::Timer;
 use futures_lite::future;
 use std::cell::RefCell;
@@ -62,7 +63,10 @@
                 Ok(0) => return Unread::EndOfStream,
                 Ok(count) => return Unread::Bytes(count),
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
-                Err(e) if e.kind() == ErrorKind::WouldBlock => return Unread::Nothing,
+                // A fault that passes is no reason to end the connection.
+                Err(e) if e.kind() == ErrorKind::WouldBlock || is_short_of_memory(&e) => {
+                    return Unread::Nothing;
+                }
                 Err(e) => {
                     self.close(e.into());
                     return Unread::EndOfStream;
@@ -125,9 +129,8 @@
                 return Ok(0);
             }
             match self.read_now(inbox) {
-                Err(e) if e.kind() == ErrorKind::WouldBlock => self.stream.readable().await?,
-                Err(e) if e.kind() == ErrorKind::Interrupted => {}
-                result => return result,
+                Ok(count) => return Ok(count),
+                Err(error) => self.wait_to_read_again(error).await?,
             }
         }
     }
@@ -136,10 +139,26 @@
     async fn read_some(&self, inbox: &mut Vec<u8>) -> io::Result<usize> {
         loop {
             match self.read_now(inbox) {
-                Err(e) if e.kind() == ErrorKind::WouldBlock => self.stream.readable().await?,
-                Err(e) if e.kind() == ErrorKind::Interrupted => {}
-                result => return result,
+                Ok(count) => return Ok(count),
+                Err(error) => self.wait_to_read_again(error).await?,
+            }
+        }
+    }
+
+    /// Waits until a read that has failed may succeed.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error if the connection has failed.
+    async fn wait_to_read_again(&self, error: io::Error) -> io::Result<()> {
+        match error.kind() {
+            ErrorKind::Interrupted => Ok(()),
+            ErrorKind::WouldBlock => self.stream.readable().await,
+            _ if is_short_of_memory(&error) => {
+                Timer::after(TEMPORARY_FAULT_PAUSE).await;
+                Ok(())
             }
+            _ => Err(error),
         }
     }
 
@@ -192,8 +211,10 @@
     async fn flush_and_read_to_end(&self) {
         while !self.queue.borrow().is_empty() {
             let writable = self.stream.writable().await;
-            if writable.and_then(|()| self.flush()).is_err() {
-                return;
+            match writable.and_then(|()| self.flush()) {
+                Err(e) if is_short_of_memory(&e) => drop(Timer::after(TEMPORARY_FAULT_PAUSE).await),
+                Err(_) => return,
+                Ok(()) => {}
             }
         }
         self.shutdown_write();
--- a/src/net/conn/writing.rs
+++ b/src/net/conn/writing.rs
@@ -1,6 +1,8 @@
 //! Writing: a bounded queue for each connection, and a limit for all of them.
 
-use super::{CloseReason, Connection};
+use super::{CloseReason, Connection, TEMPORARY_FAULT_PAUSE};
+use crate::net::system_error::is_short_of_memory;
+use async_io::Timer;
 use futures_lite::future;
 use std::cell::Cell;
 use std::io::{self, ErrorKind, Write};
@@ -41,7 +43,7 @@
             match self.stream.get_ref().write(rest) {
                 Ok(count) => rest = rest.get(count..).unwrap_or_default(),
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
-                Err(e) if e.kind() == ErrorKind::WouldBlock => break,
+                Err(e) if e.kind() == ErrorKind::WouldBlock || is_short_of_memory(&e) => break,
                 Err(e) => {
                     self.close(e.into());
                     return rest.len() < bytes.len();
@@ -96,8 +98,11 @@
             } else {
                 future::or(woken, self.stream.writable()).await
             };
-            if let Err(e) = ready.and_then(|()| self.flush()) {
-                return e.into();
+            match ready.and_then(|()| self.flush()) {
+                // The system is short of memory for a moment, and what is queued waits for it.
+                Err(e) if is_short_of_memory(&e) => drop(Timer::after(TEMPORARY_FAULT_PAUSE).await),
+                Err(e) => return e.into(),
+                Ok(()) => {}
             }
         }
     }
--- a/src/net/system_error.rs
+++ b/src/net/system_error.rs
@@ -25,6 +25,9 @@
     Errno::IO,
 ];
 
+/// The system has no memory for the data of a connection; the connection is as it was.
+const SHORT_OF_MEMORY: [Errno; 2] = [Errno::NOBUFS, Errno::NOMEM];
+
 /// Whether the process or the machine has no descriptor left.
 pub fn is_out_of_descriptors(error: &io::Error) -> bool {
     has_code(error, &OUT_OF_DESCRIPTORS)
@@ -35,6 +38,11 @@
     is_out_of_descriptors(error) || has_code(error, &LOCAL_FAULTS)
 }
 
+/// Whether a read or write failed for want of memory: the same call may succeed a moment later.
+pub fn is_short_of_memory(error: &io::Error) -> bool {
+    has_code(error, &SHORT_OF_MEMORY)
+}
+
 /// Whether the same call may succeed a moment later.
 pub fn is_temporary(error: &io::Error) -> bool {
     is_out_of_descriptors(error) || has_code(error, &TEMPORARY)
--- a/src/net/system_error/tests.rs
+++ b/src/net/system_error/tests.rs
@@ -60,3 +60,19 @@
         assert!(!is_temporary(&error(code)), "{code}");
     }
 }
+
+#[test]
+fn want_of_memory_is_no_failure_of_a_connection() {
+    for code in [Errno::NOBUFS, Errno::NOMEM] {
+        assert!(is_short_of_memory(&error(code)), "{code}");
+    }
+    for code in [
+        Errno::CONNRESET,
+        Errno::TIMEDOUT,
+        Errno::HOSTUNREACH,
+        Errno::PIPE,
+        Errno::IO,
+    ] {
+        assert!(!is_short_of_memory(&error(code)), "{code}");
+    }
+}
