Soak: an end of a run that another host's answer has superseded is no end of the task

A host's answer is lost, the request goes to a second host, the run at the first ends there before the second answers, and the check took that end for the second's. It forgets it when another host answers; ends of the host that answered last are checked as before.

--- a/tests/soak/registry.rs
+++ b/tests/soak/registry.rs
@@ -148,7 +148,12 @@
     }
 
     pub fn answered(&self, id: u64, host: u64) {
-        self.with(id, |record| record.answered_by = Some(host));
+        self.with(id, |record| {
+            // The run at another host, whose answer was lost, is none that the client knows; nor is its end.
+            if record.answered_by.replace(host) != Some(host) {
+                record.host_end = None;
+            }
+        });
     }
 
     pub fn ended(&self, id: u64, host: u64, end: HostEnd) {
