Let the owner of review case 2 keep its connection until the placer closes it

Change: the owner asks once and keeps its connection for good; the placer closes it after 60 s, and the upgrade comes then.

--- a/review/2/case.rs
+++ b/review/2/case.rs
@@ -14,8 +14,8 @@
 const END_DURING_UPGRADE: [u64; 4] = [1, 2, 3, 4];
 /// Tasks that stand through the upgrade and end later.
 const END_LATER: [u64; 2] = [5, 6];
-/// An owner closes a connection that carries no task after 4 s.
-const OWNER_KEEPS_IDLE: Duration = Duration::from_secs(4);
+/// The owner keeps its connection for good. The placer closes it after a quiet time, which must end within this limit.
+const PLACER_CLOSES_IDLE: Duration = Duration::from_secs(70);
 /// From the new process's yes to the old one's SIGTERM.
 const BOTH_RUN: Duration = Duration::from_secs(2);
 /// Within this time of its end a task must be released towards its owner, with the 50 ms of the sockets.
@@ -56,7 +56,7 @@
         thread::spawn(move || front(&rec, &listen, &over))
     };
 
-    // One owner asks for six tasks; two are vote totals. All are answered.
+    // One owner asks for six tasks, and all are answered.
     let inbox = Inbox::default();
     let tasks: Vec<u64> = END_DURING_UPGRADE.iter().chain(&END_LATER).copied().collect();
     let Some(owner) = Owner::connect(&rec, &listen, &inbox) else { cannot_run("no connection") };
@@ -68,10 +68,15 @@
             cannot_run("a task was not placed");
         }
     }
-    // The connection carries no open set-up, and what stands belongs to no connection.
-    thread::sleep(OWNER_KEEPS_IDLE);
-    owner.close();
-    thread::sleep(ms(200));
+    // Nothing happens for a while. The owner keeps its connection, until the placer closes it.
+    let quiet_since = Instant::now();
+    while !owner.is_closed() {
+        if quiet_since.elapsed() > PLACER_CLOSES_IDLE {
+            cannot_run("the placer has kept the idle connection");
+        }
+        thread::sleep(ms(50));
+    }
+    thread::sleep(ms(1_000));
 
     // The upgrade, or as much time without it.
     let mut new = None;
@@ -157,7 +162,7 @@
 }
 
 fn set_up<'a>(id: u64, at: Option<&'a str>, description: &'a str) -> SetUp<'a> {
-    let class = if matches!(id, 1 | 5) { "totalizador" } else { "pagina" };
+    let class = if id < 100 { "totalizador" } else { "pagina" };
     SetUp { id, class, left_ms: 6_000, key: 0xabc0 + id, service: 0x5000 + id, at, description }
 }
 
--- a/review/common.rs
+++ b/review/common.rs
@@ -651,7 +651,8 @@
 
 impl SetUp<'_> {
     pub fn bytes(&self) -> Vec<u8> {
-        let mut figures = format!("cores:1;memory:2;service:{:016x}", self.service);
+        let size = if self.class == "totalizador" { "cores:4;memory:6" } else { "cores:1;memory:2" };
+        let mut figures = format!("{size};service:{:016x}", self.service);
         if let Some(at) = self.at {
             figures.push_str(&format!(";at:{at}"));
         }
