--- a/review/1/case.rs
+++ b/review/1/case.rs
@@ -8,10 +8,10 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-const MEMORY_MB: u64 = 32;
-const BAD_CLIENTS: u64 = 5;
+const MEMORY_MB: u64 = 64;
+const BAD_CLIENTS: u64 = 8;
 /// "Hundreds of requests at once": what each bad client sends.
-const REQUESTS_AT_ONCE: u64 = 500;
+const REQUESTS_AT_ONCE: u64 = 600;
 /// A whole set-up stays under the 16 KiB that a message may hold.
 const DESCRIPTION_BYTES: usize = 16_000;
 const USUAL_PER_SECOND: u64 = 8;
