--- a/review/1/case.rs
+++ b/review/1/case.rs
@@ -23,10 +23,21 @@
 fn main() {
     let rec = Record::new();
     let feed = Feed::start(&rec);
-    let hosts: Vec<Host> = (0..6).map(|n| Host::start(&rec, &format!("s-{n}"))).collect();
+    let hosts: Vec<Host> = (0..6)
+        .map(|n| Host::start(&rec, &format!("s-{n}")))
+        .collect();
     let zones = ["sala-a", "sala-b", "sala-c"];
     let entries: Vec<String> = (0..6)
-        .map(|n| entry(&hosts[n].name, &hosts[n].address, zones[n % 3], n as u64 / 2, "up", 0))
+        .map(|n| {
+            entry(
+                &hosts[n].name,
+                &hosts[n].address,
+                zones[n % 3],
+                n as u64 / 2,
+                "up",
+                0,
+            )
+        })
         .collect();
     feed.event(true, &entries);
 
@@ -51,7 +62,9 @@
     old.wait_ready(&rec, Duration::from_secs(30));
 
     let inbox = Inbox::default();
-    let Some(first) = Owner::connect(&rec, &listen, &inbox) else { cannot_run("no connection") };
+    let Some(first) = Owner::connect(&rec, &listen, &inbox) else {
+        cannot_run("no connection")
+    };
     for id in ENDED_BY_OWNER.chain(STAND_ON) {
         first.ask(&set_up(id, None, "start=80;run=600000"));
     }
@@ -74,12 +87,17 @@
     let mut released = Vec::new();
     for id in ENDED_BY_OWNER {
         // What ends a task may be sent on any connection from owners; this owner opens one each time.
-        let Some(owner) = Owner::connect(&rec, &listen, &inbox) else { cannot_run("no further connection") };
+        let Some(owner) = Owner::connect(&rec, &listen, &inbox) else {
+            cannot_run("no further connection")
+        };
         owner.release(id, 31);
         released.push((id, Instant::now(), owner.clone()));
         // Once its release is heard, the owner starts the task anew: a new id, the same name.
         if inbox.wait(id, 16, ms(1_000)).is_some() {
-            owner.ask(&SetUp { id: id + ANEW, ..set_up(id, None, "start=80;run=600000") });
+            owner.ask(&SetUp {
+                id: id + ANEW,
+                ..set_up(id, None, "start=80;run=600000")
+            });
         }
         thread::sleep(ms(150));
     }
@@ -91,7 +109,9 @@
             old.kill(&rec);
         }
         // What still stands for its owner passes to the new process.
-        let Some(owner) = Owner::connect(&rec, &listen, &inbox) else { cannot_run("no connection") };
+        let Some(owner) = Owner::connect(&rec, &listen, &inbox) else {
+            cannot_run("no connection")
+        };
         for id in STAND_ON {
             match hosts.iter().find(|host| host.runs(id)) {
                 Some(host) => owner.ask(&set_up(id, Some(&host.name), "")),
@@ -120,12 +140,22 @@
         let copies: usize = hosts.iter().map(|host| host.runs_named(0xabc0 + id)).sum();
         if copies > 1 {
             twice += 1;
-            rec.add(format!("result: {copies} copies of the task named {:016x} run at once", 0xabc0 + id));
+            rec.add(format!(
+                "result: {copies} copies of the task named {:016x} run at once",
+                0xabc0 + id
+            ));
         }
     }
     rec.add(format!("result: {twice} vote totals run twice"));
-    rec.add(format!("result: {run_on} of {} tasks that their owner ended run on", released.len()));
-    rec.add(if run_on > 0 { "verdict: the rule was broken" } else { "verdict: the rule held" });
+    rec.add(format!(
+        "result: {run_on} of {} tasks that their owner ended run on",
+        released.len()
+    ));
+    rec.add(if run_on > 0 {
+        "verdict: the rule was broken"
+    } else {
+        "verdict: the rule held"
+    });
     old.kill(&rec);
     if let Some(mut process) = new {
         process.kill(&rec);
@@ -135,5 +165,13 @@
 }
 
 fn set_up<'a>(id: u64, at: Option<&'a str>, description: &'a str) -> SetUp<'a> {
-    SetUp { id, class: "totalizador", left_ms: 6_000, key: 0xabc0 + id, service: 0x5000 + id, at, description }
+    SetUp {
+        id,
+        class: "totalizador",
+        left_ms: 6_000,
+        key: 0xabc0 + id,
+        service: 0x5000 + id,
+        at,
+        description,
+    }
 }
--- a/review/2/case.rs
+++ b/review/2/case.rs
@@ -5,8 +5,8 @@
 
 use common::*;
 use std::net::TcpListener;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -24,10 +24,21 @@
 fn main() {
     let rec = Record::new();
     let feed = Feed::start(&rec);
-    let hosts: Vec<Host> = (0..6).map(|n| Host::start(&rec, &format!("s-{n}"))).collect();
+    let hosts: Vec<Host> = (0..6)
+        .map(|n| Host::start(&rec, &format!("s-{n}")))
+        .collect();
     let zones = ["sala-a", "sala-b", "sala-c"];
     let entries: Vec<String> = (0..6)
-        .map(|n| entry(&hosts[n].name, &hosts[n].address, zones[n % 3], n as u64 / 2, "up", 0))
+        .map(|n| {
+            entry(
+                &hosts[n].name,
+                &hosts[n].address,
+                zones[n % 3],
+                n as u64 / 2,
+                "up",
+                0,
+            )
+        })
         .collect();
     feed.event(true, &entries);
 
@@ -58,8 +69,14 @@
 
     // One owner asks for six tasks, and all are answered.
     let inbox = Inbox::default();
-    let tasks: Vec<u64> = END_DURING_UPGRADE.iter().chain(&END_LATER).copied().collect();
-    let Some(owner) = Owner::connect(&rec, &listen, &inbox) else { cannot_run("no connection") };
+    let tasks: Vec<u64> = END_DURING_UPGRADE
+        .iter()
+        .chain(&END_LATER)
+        .copied()
+        .collect();
+    let Some(owner) = Owner::connect(&rec, &listen, &inbox) else {
+        cannot_run("no connection")
+    };
     for &id in &tasks {
         owner.ask(&set_up(id, None, "start=80;run=600000"));
     }
@@ -105,7 +122,9 @@
     }
 
     // The owner comes back with new set-ups on a new connection. What still stands passes to the new process with `at`.
-    let Some(owner) = Owner::connect(&rec, &listen, &inbox) else { cannot_run("no second connection") };
+    let Some(owner) = Owner::connect(&rec, &listen, &inbox) else {
+        cannot_run("no second connection")
+    };
     owner.test();
     if new.is_some() {
         for &id in &tasks {
@@ -130,11 +149,15 @@
     let mut lost = 0;
     for &id in &tasks {
         let ended = hosts.iter().find_map(|host| host.ended_at(id));
-        let Some(ended) = ended else { cannot_run("a task has not ended") };
+        let Some(ended) = ended else {
+            cannot_run("a task has not ended")
+        };
         match inbox.release(id) {
             Some(release) if release.at.saturating_duration_since(ended) <= RELEASE_LIMIT => {
                 let took = release.at.saturating_duration_since(ended);
-                rec.add(format!("result: {id:016x} was released towards its owner {took:?} after its end"));
+                rec.add(format!(
+                    "result: {id:016x} was released towards its owner {took:?} after its end"
+                ));
             }
             Some(release) => {
                 lost += 1;
@@ -148,10 +171,19 @@
             }
         }
     }
-    let served = (101..=next).filter(|id| inbox.first(*id, 9).is_some()).count();
-    rec.add(format!("result: of {} new set-ups since the owner came back {served} were placed", next - 100));
+    let served = (101..=next)
+        .filter(|id| inbox.first(*id, 9).is_some())
+        .count();
+    rec.add(format!(
+        "result: of {} new set-ups since the owner came back {served} were placed",
+        next - 100
+    ));
     rec.add(format!("result: {lost} of {} ends were lost", tasks.len()));
-    rec.add(if lost > 0 { "verdict: the rule was broken" } else { "verdict: the rule held" });
+    rec.add(if lost > 0 {
+        "verdict: the rule was broken"
+    } else {
+        "verdict: the rule held"
+    });
     let _ = front.join();
     old.kill(&rec);
     if let Some(mut process) = new {
@@ -163,7 +195,15 @@
 
 fn set_up<'a>(id: u64, at: Option<&'a str>, description: &'a str) -> SetUp<'a> {
     let class = if id < 100 { "totalizador" } else { "pagina" };
-    SetUp { id, class, left_ms: 6_000, key: 0xabc0 + id, service: 0x5000 + id, at, description }
+    SetUp {
+        id,
+        class,
+        left_ms: 6_000,
+        key: 0xabc0 + id,
+        service: 0x5000 + id,
+        at,
+        description,
+    }
 }
 
 /// The front asks every 0.1 s whether the placer is ready, on connections of its own.
--- a/review/3/case.rs
+++ b/review/3/case.rs
@@ -24,10 +24,21 @@
 fn main() {
     let rec = Record::new();
     let feed = Feed::start(&rec);
-    let hosts: Vec<Host> = (0..6).map(|n| Host::start_with(&rec, &format!("s-{n}"), true)).collect();
+    let hosts: Vec<Host> = (0..6)
+        .map(|n| Host::start_with(&rec, &format!("s-{n}"), true))
+        .collect();
     let zones = ["sala-a", "sala-b", "sala-c"];
     let entries: Vec<String> = (0..6)
-        .map(|n| entry(&hosts[n].name, &hosts[n].address, zones[n % 3], n as u64 / 2, "up", 0))
+        .map(|n| {
+            entry(
+                &hosts[n].name,
+                &hosts[n].address,
+                zones[n % 3],
+                n as u64 / 2,
+                "up",
+                0,
+            )
+        })
         .collect();
     feed.event(true, &entries);
     let (known_n, known_events) = feed.known();
@@ -49,7 +60,12 @@
     let inbox = Inbox::default();
     let sent: Arc<Mutex<Vec<(u64, Instant)>>> = Arc::default();
     let usual = {
-        let (rec, inbox, sent, listen) = (rec.clone(), inbox.clone(), sent.clone(), told.listen.clone());
+        let (rec, inbox, sent, listen) = (
+            rec.clone(),
+            inbox.clone(),
+            sent.clone(),
+            told.listen.clone(),
+        );
         thread::spawn(move || usual_owner(&rec, &listen, &inbox, &sent, start))
     };
 
@@ -61,7 +77,9 @@
     while start.elapsed() < END {
         if trouble() && !bad_begun && start.elapsed() >= TROUBLE_AT {
             bad_begun = true;
-            rec.add(format!("trouble: {BAD_CLIENTS} clients send {REQUESTS_AT_ONCE} requests at once each"));
+            rec.add(format!(
+                "trouble: {BAD_CLIENTS} clients send {REQUESTS_AT_ONCE} requests at once each"
+            ));
             for client in 0..BAD_CLIENTS {
                 bad_client(&rec, &told.listen, client);
             }
@@ -76,12 +94,17 @@
         let resident = placer.memory_kb("VmRSS").unwrap_or(0);
         most_kb = most_kb.max(anonymous);
         if start.elapsed() >= next_line || anonymous > MEMORY_MB * 1024 {
-            rec.add(format!("platform: memory of the process: {anonymous} kB anonymous, {resident} kB resident"));
+            rec.add(format!(
+                "platform: memory of the process: {anonymous} kB anonymous, {resident} kB resident"
+            ));
             next_line = start.elapsed() + ms(500);
         }
         if anonymous > MEMORY_MB * 1024 {
             over_limit = Some(anonymous);
-            rec.add(format!("platform: over the limit of {} kB, the placer is killed", MEMORY_MB * 1024));
+            rec.add(format!(
+                "platform: over the limit of {} kB, the placer is killed",
+                MEMORY_MB * 1024
+            ));
             placer.kill(&rec);
             break;
         }
@@ -97,7 +120,10 @@
         })
         .map(|(id, _)| *id)
         .collect();
-    let answered = taken.iter().filter(|(id, _)| inbox.answer(*id).is_some()).count();
+    let answered = taken
+        .iter()
+        .filter(|(id, _)| inbox.answer(*id).is_some())
+        .count();
     rec.add(format!(
         "result: usual set-ups sent {}, answered {answered}, without an answer {}; most memory {most_kb} kB of {} kB",
         taken.len(),
@@ -105,7 +131,11 @@
         MEMORY_MB * 1024
     ));
     let broken = over_limit.is_some() || exited || !unanswered.is_empty();
-    rec.add(if broken { "verdict: the rule was broken" } else { "verdict: the rule held" });
+    rec.add(if broken {
+        "verdict: the rule was broken"
+    } else {
+        "verdict: the rule held"
+    });
     if over_limit.is_none() && !exited {
         placer.kill(&rec);
     }
@@ -115,8 +145,16 @@
 }
 
 /// Asks for small tasks on one connection, and hears their ends.
-fn usual_owner(rec: &Record, listen: &str, inbox: &Inbox, sent: &Mutex<Vec<(u64, Instant)>>, start: Instant) {
-    let Some(owner) = Owner::connect(rec, listen, inbox) else { return };
+fn usual_owner(
+    rec: &Record,
+    listen: &str,
+    inbox: &Inbox,
+    sent: &Mutex<Vec<(u64, Instant)>>,
+    start: Instant,
+) {
+    let Some(owner) = Owner::connect(rec, listen, inbox) else {
+        return;
+    };
     let mut n = 0;
     while start.elapsed() + OWNER_WAITS + SLACK < END && !owner.is_closed() {
         n += 1;
@@ -165,6 +203,8 @@
             }
             written += 1;
         }
-        rec.add(format!("bad client {client}: has written {written} requests"));
+        rec.add(format!(
+            "bad client {client}: has written {written} requests"
+        ));
     });
 }
--- a/review/common.rs
+++ b/review/common.rs
@@ -2,7 +2,7 @@
 //! project's program with the command of the deploy file. Standard library only, loopback only.
 #![allow(dead_code)]
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::fs::{self, File};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, TcpListener, TcpStream};
@@ -12,16 +12,12 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant};
 
 pub fn ms(n: u64) -> Duration {
     Duration::from_millis(n)
 }
 
-pub fn unix_ms() -> u64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64
-}
-
 /// Whether the disruption is played: `TROUBLE=0` leaves it out.
 pub fn trouble() -> bool {
     std::env::var("TROUBLE").map_or(true, |v| v != "0")
@@ -47,7 +43,10 @@
     pub fn new() -> Record {
         let path = std::env::var("RECORD").unwrap_or_else(|_| "record.txt".into());
         let file = File::create(&path).unwrap_or_else(|e| cannot_run(&format!("{path}: {e}")));
-        Record { file: Arc::new(Mutex::new(file)), start: Instant::now() }
+        Record {
+            file: Arc::new(Mutex::new(file)),
+            start: Instant::now(),
+        }
     }
 
     pub fn add(&self, line: impl AsRef<str>) {
@@ -55,11 +54,6 @@
         let mut file = self.file.lock().unwrap();
         let _ = writeln!(file, "{at:9.3}  {}", line.as_ref());
     }
-
-    /// Seconds since the start of the record.
-    pub fn now(&self) -> f64 {
-        self.start.elapsed().as_secs_f64()
-    }
 }
 
 // ---- Processes ----
@@ -84,7 +78,10 @@
 /// A fresh folder for this run, removed by `run.sh`.
 pub fn temp_dir() -> PathBuf {
     let base = std::env::var("CASE_TMP").unwrap_or_else(|_| {
-        std::env::temp_dir().join(format!("case-{}", std::process::id())).display().to_string()
+        std::env::temp_dir()
+            .join(format!("case-{}", std::process::id()))
+            .display()
+            .to_string()
     });
     let path = PathBuf::from(base);
     let _ = fs::create_dir_all(&path);
@@ -98,18 +95,23 @@
 
 /// The `run` command of the deploy file.
 fn run_command() -> String {
-    let text = fs::read_to_string("deploy/balancer.toml").unwrap_or_else(|e| cannot_run(&format!("deploy file: {e}")));
-    let line = text.lines().find(|l| l.starts_with("run ")).unwrap_or_else(|| cannot_run("no run command"));
+    let text = fs::read_to_string("deploy/balancer.toml")
+        .unwrap_or_else(|e| cannot_run(&format!("deploy file: {e}")));
+    let line = text
+        .lines()
+        .find(|l| l.starts_with("run "))
+        .unwrap_or_else(|| cannot_run("no run command"));
     let mut parts = line.split('"');
     parts.next();
-    parts.next().unwrap_or_else(|| cannot_run("no run command")).to_string()
+    parts
+        .next()
+        .unwrap_or_else(|| cannot_run("no run command"))
+        .to_string()
 }
 
 pub struct Placer {
     pub child: Child,
-    pub listen: String,
     pub admin: String,
-    pub log: PathBuf,
     label: String,
 }
 
@@ -202,13 +204,26 @@
                 command.stdin(Stdio::null());
             }
         }
-        let child = command.spawn().unwrap_or_else(|e| cannot_run(&format!("start: {e}")));
+        let child = command
+            .spawn()
+            .unwrap_or_else(|e| cannot_run(&format!("start: {e}")));
         CHILDREN.lock().unwrap().push(child.id());
-        if let Ok(mut pids) = fs::OpenOptions::new().create(true).append(true).open(dir.join("pids")) {
+        if let Ok(mut pids) = fs::OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(dir.join("pids"))
+        {
             let _ = writeln!(pids, "{}", child.id());
         }
-        rec.add(format!("platform: starts process {label} (pid {})", child.id()));
-        Placer { child, listen: told.listen.clone(), admin: told.admin.clone(), log, label: label.into() }
+        rec.add(format!(
+            "platform: starts process {label} (pid {})",
+            child.id()
+        ));
+        Placer {
+            child,
+            admin: told.admin.clone(),
+            label: label.into(),
+        }
     }
 
     pub fn signal(&self, rec: &Record, name: &str) {
@@ -227,7 +242,8 @@
     }
 
     pub fn serves(&self) -> bool {
-        self.call("check").is_some_and(|reply| reply.starts_with("ok"))
+        self.call("check")
+            .is_some_and(|reply| reply.starts_with("ok"))
     }
 
     /// Waits until the process says that it serves.
@@ -251,7 +267,10 @@
         let until = Instant::now() + limit;
         while Instant::now() < until {
             if let Ok(Some(status)) = self.child.try_wait() {
-                rec.add(format!("platform: process {} has ended: {status}", self.label));
+                rec.add(format!(
+                    "platform: process {} has ended: {status}",
+                    self.label
+                ));
                 let pid = self.child.id();
                 CHILDREN.lock().unwrap().retain(|p| *p != pid);
                 return true;
@@ -282,7 +301,6 @@
 struct FeedState {
     events: Vec<String>,
     conns: Vec<TcpStream>,
-    down: bool,
 }
 
 #[derive(Clone)]
@@ -311,11 +329,9 @@
         thread::spawn(move || loop {
             thread::sleep(ms(1000));
             let state = ticking.state.lock().unwrap();
-            if !state.down {
-                let line = format!("{{\"n\":{}}}\n", state.events.len());
-                for mut conn in &state.conns {
-                    let _ = conn.write_all(line.as_bytes());
-                }
+            let line = format!("{{\"n\":{}}}\n", state.events.len());
+            for mut conn in &state.conns {
+                let _ = conn.write_all(line.as_bytes());
             }
         });
         feed
@@ -327,13 +343,14 @@
         if reader.read_line(&mut line).is_err() {
             return;
         }
-        let Some(last) = line.trim().strip_prefix("SUB ").and_then(|n| n.parse::<usize>().ok()) else {
+        let Some(last) = line
+            .trim()
+            .strip_prefix("SUB ")
+            .and_then(|n| n.parse::<usize>().ok())
+        else {
             return;
         };
         let mut state = self.state.lock().unwrap();
-        if state.down {
-            return;
-        }
         self.rec.add(format!("feed: SUB {last}"));
         let mut stream = stream;
         for event in state.events.iter().skip(last) {
@@ -352,24 +369,12 @@
             entries.join(",")
         );
         self.rec.add(format!("feed: event {event}"));
-        if !state.down {
-            for mut conn in &state.conns {
-                let _ = conn.write_all(format!("{event}\n").as_bytes());
-            }
+        for mut conn in &state.conns {
+            let _ = conn.write_all(format!("{event}\n").as_bytes());
         }
         state.events.push(event);
     }
 
-    /// Breaks off all connections and takes none until `up`.
-    pub fn set_down(&self, down: bool) {
-        let mut state = self.state.lock().unwrap();
-        self.rec.add(if down { "feed: breaks off, and tells nothing" } else { "feed: is back" });
-        state.down = down;
-        for conn in state.conns.drain(..) {
-            let _ = conn.shutdown(Shutdown::Both);
-        }
-    }
-
     /// The form in which a configuration holds the events.
     pub fn known(&self) -> (u64, Vec<String>) {
         let state = self.state.lock().unwrap();
@@ -388,7 +393,10 @@
 /// How a host treats a set-up, by its description: `start=MS;run=MS`.
 fn figure(description: &str, name: &str) -> Option<u64> {
     let at = description.find(&format!("{name}="))? + name.len() + 1;
-    let digits: String = description[at..].chars().take_while(char::is_ascii_digit).collect();
+    let digits: String = description[at..]
+        .chars()
+        .take_while(char::is_ascii_digit)
+        .collect();
     digits.parse().ok()
 }
 
@@ -431,8 +439,6 @@
     next_conn: u64,
     /// Releases that the next connection to open gets as well.
     repeat: Vec<(u64, String)>,
-    /// Set-ups that arrived, by id: key.
-    pub arrived: Vec<(u64, String)>,
     ended: BTreeMap<u64, Instant>,
 }
 
@@ -485,7 +491,9 @@
             let mut out = stream.try_clone().unwrap();
             self.note(format!("connection {conn} opens"));
             for (id, line) in std::mem::take(&mut state.repeat) {
-                self.note(format!("connection {conn}: sends the release of {id:016x} also here"));
+                self.note(format!(
+                    "connection {conn}: sends the release of {id:016x} also here"
+                ));
                 let _ = out.write_all(line.as_bytes());
             }
             state.conns.insert(conn, out);
@@ -516,7 +524,9 @@
     }
 
     fn message(&self, conn: u64, line: &str) {
-        let id = text_field(line, "ref").and_then(|t| u64::from_str_radix(&t, 16).ok()).unwrap_or(0);
+        let id = text_field(line, "ref")
+            .and_then(|t| u64::from_str_radix(&t, 16).ok())
+            .unwrap_or(0);
         match text_field(line, "t").as_deref() {
             Some("new") => self.offered(conn, id, line),
             Some("down") => {
@@ -525,7 +535,9 @@
                     Some(task) if task.state == TaskState::Running => {
                         self.note(format!("{id:016x} is released by the placer: cut"));
                         state.ended.insert(id, Instant::now());
-                        let line = format!("{{\"t\":\"down\",\"ref\":\"{id:016x}\",\"f\":{{}},\"c\":31}}\n");
+                        let line = format!(
+                            "{{\"t\":\"down\",\"ref\":\"{id:016x}\",\"f\":{{}},\"c\":31}}\n"
+                        );
                         self.send_release(&mut state, task.conn, id, &line);
                     }
                     Some(_) => self.note(format!("{id:016x} is given up by the placer")),
@@ -533,7 +545,8 @@
                 }
             }
             Some("hb") => {
-                let reply = format!("{{\"t\":\"hb_ok\",\"ref\":\"{id:016x}\",\"f\":{{}},\"c\":1}}\n");
+                let reply =
+                    format!("{{\"t\":\"hb_ok\",\"ref\":\"{id:016x}\",\"f\":{{}},\"c\":1}}\n");
                 if let Some(mut out) = self.state.lock().unwrap().conns.get(&conn) {
                     let _ = out.write_all(reply.as_bytes());
                 }
@@ -546,20 +559,30 @@
     fn offered(&self, conn: u64, id: u64, line: &str) {
         let key = text_field(line, "key").unwrap_or_default();
         let description = text_field(line, "d").unwrap_or_default();
-        self.note(format!("set-up {id:016x} (key {key}) arrives on connection {conn}"));
+        self.note(format!(
+            "set-up {id:016x} (key {key}) arrives on connection {conn}"
+        ));
         let start = figure(&description, "start").unwrap_or(10);
         let run = figure(&description, "run").unwrap_or(600_000);
         {
             let mut state = self.state.lock().unwrap();
-            state.arrived.push((id, key.clone()));
-            state.tasks.insert(id, HostTask { state: TaskState::Starting, conn, key });
+            state.tasks.insert(
+                id,
+                HostTask {
+                    state: TaskState::Starting,
+                    conn,
+                    key,
+                },
+            );
         }
         let host = self.clone();
         thread::spawn(move || {
             thread::sleep(ms(start));
             {
                 let mut state = host.state.lock().unwrap();
-                let Some(task) = state.tasks.get_mut(&id) else { return };
+                let Some(task) = state.tasks.get_mut(&id) else {
+                    return;
+                };
                 task.state = TaskState::Running;
                 let conn = task.conn;
                 host.note(format!("{id:016x} runs: answer"));
@@ -576,18 +599,13 @@
         });
     }
 
-    /// Lets a task run here that a placer started earlier.
-    pub fn holds(&self, id: u64) {
-        let mut state = self.state.lock().unwrap();
-        self.note(format!("{id:016x} runs here"));
-        state.tasks.insert(id, HostTask { state: TaskState::Running, conn: u64::MAX, key: String::new() });
-    }
-
     /// Ends a running task: its release goes out on its set-up's connection, else on any open one, and on the next
     /// connection to open.
     pub fn end(&self, id: u64) {
         let mut state = self.state.lock().unwrap();
-        let Some(task) = state.tasks.remove(&id) else { return };
+        let Some(task) = state.tasks.remove(&id) else {
+            return;
+        };
         state.ended.insert(id, Instant::now());
         let line = format!("{{\"t\":\"down\",\"ref\":\"{id:016x}\",\"f\":{{}},\"c\":16}}\n");
         self.note(format!("{id:016x} has come to its end"));
@@ -600,7 +618,9 @@
         match out {
             Some((conn, mut out)) => {
                 let _ = out.write_all(line.as_bytes());
-                self.note(format!("release of {id:016x} is written to connection {conn}"));
+                self.note(format!(
+                    "release of {id:016x} is written to connection {conn}"
+                ));
             }
             None => self.note(format!("release of {id:016x} has no connection")),
         }
@@ -608,27 +628,27 @@
     }
 
     pub fn runs(&self, id: u64) -> bool {
-        self.state.lock().unwrap().tasks.get(&id).is_some_and(|t| t.state == TaskState::Running)
+        self.state
+            .lock()
+            .unwrap()
+            .tasks
+            .get(&id)
+            .is_some_and(|t| t.state == TaskState::Running)
     }
 
     /// How many tasks of this name run here.
     pub fn runs_named(&self, key: u64) -> usize {
         let (key, state) = (format!("{key:016x}"), self.state.lock().unwrap());
-        let running = state.tasks.values().filter(|task| task.state == TaskState::Running);
+        let running = state
+            .tasks
+            .values()
+            .filter(|task| task.state == TaskState::Running);
         running.filter(|task| task.key == key).count()
     }
 
     pub fn ended_at(&self, id: u64) -> Option<Instant> {
         self.state.lock().unwrap().ended.get(&id).copied()
     }
-
-    pub fn connections(&self) -> usize {
-        self.state.lock().unwrap().conns.len()
-    }
-
-    pub fn arrived(&self) -> Vec<(u64, String)> {
-        self.state.lock().unwrap().arrived.clone()
-    }
 }
 
 // ---- Owners ----
@@ -658,7 +678,11 @@
 
 impl SetUp<'_> {
     pub fn bytes(&self) -> Vec<u8> {
-        let size = if self.class == "totalizador" { "cores:4;memory:6" } else { "cores:1;memory:2" };
+        let size = if self.class == "totalizador" {
+            "cores:4;memory:6"
+        } else {
+            "cores:1;memory:2"
+        };
         let mut figures = format!("{size};service:{:016x}", self.service);
         if let Some(at) = self.at {
             figures.push_str(&format!(";at:{at}"));
@@ -694,12 +718,22 @@
 
 impl Inbox {
     pub fn first(&self, id: u64, kind: u8) -> Option<Heard> {
-        self.0.lock().unwrap().iter().find(|h| h.id == id && h.kind == kind).cloned()
+        self.0
+            .lock()
+            .unwrap()
+            .iter()
+            .find(|h| h.id == id && h.kind == kind)
+            .cloned()
     }
 
     /// The final answer to a set-up: an answer, or a release before one.
     pub fn answer(&self, id: u64) -> Option<Heard> {
-        self.0.lock().unwrap().iter().find(|h| h.id == id && matches!(h.kind, 9 | 12)).cloned()
+        self.0
+            .lock()
+            .unwrap()
+            .iter()
+            .find(|h| h.id == id && matches!(h.kind, 9 | 12))
+            .cloned()
     }
 
     /// The release of a task that stands.
@@ -729,7 +763,6 @@
     pub conn: u64,
     stream: Arc<TcpStream>,
     pub closed: Arc<AtomicBool>,
-    quiet: Arc<AtomicBool>,
     rec: Record,
     quiet_log: bool,
 }
@@ -746,7 +779,6 @@
             conn: NEXT_OWNER_CONN.fetch_add(1, Ordering::Relaxed),
             stream: Arc::new(stream),
             closed: Arc::default(),
-            quiet: Arc::default(),
             rec: rec.clone(),
             quiet_log,
         };
@@ -761,7 +793,8 @@
 
     fn note(&self, text: String) {
         if !self.quiet_log {
-            self.rec.add(format!("owner connection {}: {text}", self.conn));
+            self.rec
+                .add(format!("owner connection {}: {text}", self.conn));
         }
     }
 
@@ -776,9 +809,6 @@
             if stream.read_exact(&mut body).is_err() || body.len() < 9 {
                 break;
             }
-            while self.quiet.load(Ordering::Relaxed) {
-                thread::sleep(ms(50));
-            }
             let id = u64::from_be_bytes(body[1..9].try_into().unwrap());
             let (mut cause, mut rest) = (None, &body[9..]);
             while rest.len() >= 3 {
@@ -788,7 +818,13 @@
                 }
                 rest = &rest[(3 + length).min(rest.len())..];
             }
-            let heard = Heard { at: Instant::now(), kind: body[0], id, cause, conn: self.conn };
+            let heard = Heard {
+                at: Instant::now(),
+                kind: body[0],
+                id,
+                cause,
+                conn: self.conn,
+            };
             let what = match (body[0], cause) {
                 (9, _) => "answer".to_string(),
                 (12, Some(cause)) => format!("release, cause {cause}"),
@@ -814,7 +850,10 @@
 
     pub fn ask(&self, setup: &SetUp) -> bool {
         let at = setup.at.map(|at| format!(" at {at}")).unwrap_or_default();
-        self.note(format!("sends set-up {:016x} ({}, key {:016x}){at}", setup.id, setup.class, setup.key));
+        self.note(format!(
+            "sends set-up {:016x} ({}, key {:016x}){at}",
+            setup.id, setup.class, setup.key
+        ));
         self.send(&setup.bytes())
     }
 
@@ -827,12 +866,6 @@
         self.send(&encode(12, id, &[(171, &[cause])]))
     }
 
-    /// The connection falls quiet, but stays open: nothing more is read or sent on it.
-    pub fn fall_quiet(&self) {
-        self.note("falls quiet".into());
-        self.quiet.store(true, Ordering::Relaxed);
-    }
-
     pub fn close(&self) {
         self.note("closes".into());
         let _ = self.stream.shutdown(Shutdown::Both);
@@ -842,6 +875,3 @@
         self.closed.load(Ordering::Relaxed)
     }
 }
-
-/// A set of ids, used to count.
-pub type Ids = BTreeSet<u64>;
