--- a/review/2/case.rs
+++ b/review/2/case.rs
@@ -208,11 +208,15 @@
 
 /// The front asks every 0.1 s whether the placer is ready, on connections of its own.
 fn front(rec: &Record, listen: &str, over: &AtomicBool) {
+    let mut tests = 0;
     while !over.load(Ordering::Relaxed) {
         if let Some(conn) = Owner::connect_with(rec, listen, &Inbox::default(), true) {
-            conn.test();
+            tests += u64::from(conn.test());
             thread::sleep(ms(100));
             conn.close();
         }
     }
+    rec.add(format!(
+        "front: has sent {tests} tests, each on a connection of its own"
+    ));
 }
--- a/review/3/case.rs
+++ b/review/3/case.rs
@@ -26,7 +26,7 @@
     let rec = Record::new();
     let feed = Feed::start(&rec);
     let hosts: Vec<Host> = (0..6)
-        .map(|n| Host::start_with(&rec, &format!("s-{n}"), true))
+        .map(|n| Host::start(&rec, &format!("s-{n}")))
         .collect();
     let zones = ["sala-a", "sala-b", "sala-c"];
     let entries: Vec<String> = (0..6)
@@ -184,7 +184,7 @@
 
 /// Sends hundreds of requests at once on one connection, and reads what it is sent.
 fn bad_client(rec: &Record, listen: &str, client: u64) {
-    let Some(conn) = Owner::connect_with(rec, listen, &Inbox::default(), true) else {
+    let Some(conn) = Owner::connect(rec, listen, &Inbox::default()) else {
         rec.add(format!("bad client {client}: cannot connect"));
         return;
     };
@@ -210,8 +210,10 @@
             }
             written += 1;
         }
+        let first = 0xbad0_0000 + client * 0x1000;
         rec.add(format!(
-            "bad client {client}: has written {written} requests"
+            "bad client {client} (owner connection {}): has written {written} set-ups, ids from {first:016x} on",
+            conn.conn
         ));
     });
 }
