Move the tests of upgrades into a test target of their own

The tests of rolling upgrades stand in tests/upgrades now, unchanged; with_admin_socket moves to the emulator, since both targets use it.

--- a/crates/emulator/src/admin_socket.rs
+++ b/crates/emulator/src/admin_socket.rs
@@ -1,6 +1,6 @@
 //! The admin socket of a placer, as operators and the platform use it.
 
-use crate::{TEST_TIMEOUT, wait_for};
+use crate::{TEST_TIMEOUT, free_address, wait_for};
 use simd_json::prelude::*;
 use simd_json::{OwnedValue, to_owned_value};
 use std::io::{BufRead, BufReader, Read, Write};
@@ -92,3 +92,16 @@
             .expect("the metrics do not contain the counter")
     }
 }
+
+/// Adds a free admin address to a configuration, and returns it with the socket at that address.
+///
+/// # Panics
+///
+/// If the configuration is not an object.
+pub fn with_admin_socket(mut config: OwnedValue) -> (OwnedValue, AdminSocket) {
+    let address = free_address();
+    config
+        .insert("admin", address.to_string())
+        .expect("an object");
+    (config, AdminSocket(address))
+}
