Pass a client's release on to the process that is responsible for the task

Cause: both processes accept from one socket, and handle_client_release acknowledged and dropped a release of an id that was not in the table of its own process. Evidence: the hosts' record has no release for these tasks, and each was read by the process that had not placed it. Ruled out: a lost host message, a close before the read.

Change: the processes send each other lines on the Unix connection that they have: the tasks that each is responsible for, and releases of unknown tasks. The acknowledgement follows the reply of the responsible process; if that exits or does not reply within 2 s, the release goes to the host from here, also for releases unconfirmed at an exit. Lines are typed, at most 1 KiB, and tables and queues are bounded.

--- a/src/net/codec/lines.rs
+++ b/src/net/codec/lines.rs
@@ -60,7 +60,8 @@
     Ok((task, message))
 }
 
-fn task_id(value: &BorrowedValue<'_>) -> Option<TaskId> {
+/// Returns the task id of a message, or `None` if it is missing or not 16 hex digits.
+pub(super) fn task_id(value: &BorrowedValue<'_>) -> Option<TaskId> {
     let text = value.get_str("ref")?;
     if text.len() != TASK_ID_DIGITS {
         return None;
@@ -102,7 +103,8 @@
     }
 }
 
-fn line(value: &BorrowedValue<'_>) -> Vec<u8> {
+/// Encodes a value as one line.
+pub(super) fn json_line(value: &BorrowedValue<'_>) -> Vec<u8> {
     let mut line = value.encode().into_bytes();
     line.push(b'\n');
     line
@@ -124,22 +126,22 @@
         "d": description,
     })
     .into();
-    Some(line(&value)).filter(|line| line.len() <= MAX_MESSAGE_BYTES)
+    Some(json_line(&value)).filter(|line| line.len() <= MAX_MESSAGE_BYTES)
 }
 
 /// Encodes the release of an abandoned attempt or of an ended task ("down" on the wire).
 pub fn release(task: TaskId, cause: Cause) -> Vec<u8> {
-    line(&json!({ "t": "down", "ref": task.to_string(), "f": {}, "c": cause.0 }).into())
+    json_line(&json!({ "t": "down", "ref": task.to_string(), "f": {}, "c": cause.0 }).into())
 }
 
 /// Encodes a connection check ("hb" on the wire), to which the host replies at once.
 pub fn connection_check() -> Vec<u8> {
-    line(&json!({ "t": "hb", "ref": CHECK_ID.to_string(), "f": {}, "c": 0 }).into())
+    json_line(&json!({ "t": "hb", "ref": CHECK_ID.to_string(), "f": {}, "c": 0 }).into())
 }
 
 /// Encodes the acknowledgement of a host's release ("ack" on the wire).
 pub fn release_ack(task: TaskId) -> Vec<u8> {
-    line(&json!({ "t": "ack", "ref": task.to_string(), "f": {} }).into())
+    json_line(&json!({ "t": "ack", "ref": task.to_string(), "f": {} }).into())
 }
 
 #[cfg(test)]
--- a/src/net/codec/mod.rs
+++ b/src/net/codec/mod.rs
@@ -1,12 +1,13 @@
 //! Encodes and decodes the wire protocols: pure functions between bytes and messages, independent of any connection.
 //!
 //! Only these modules translate between the names of the protocols and those of the code; a comment gives the
-//! protocol's name where the two differ. [`binary`] holds the messages of clients, [`lines`] those of hosts, and
-//! [`feed`] those of service discovery.
+//! protocol's name where the two differ. [`binary`] holds the messages of clients, [`lines`] those of hosts, [`feed`] those
+//! of service discovery, and [`peer`] those of the placer's other processes.
 
 pub mod binary;
 pub mod feed;
 pub mod lines;
+pub mod peer;
 
 use std::fmt;
 use task_placer::facade::PlacementRequest;
--- a/src/net/dispatch.rs
+++ b/src/net/dispatch.rs
@@ -15,9 +15,10 @@
 //! ```
 //!
 //! `request` and `timer_event` define the data types. `requests` maintains the table of requests and has a diagram of
-//! their states; `request_index` finds requests by host. `shutdown`, `admin_commands`, `health_inputs` and
-//! `overload_report` implement what the platform and operators control and observe. The connection modules (`clients`,
-//! `hosts`, `feed`) do not depend on dispatch, which implements their event traits.
+//! their states; `request_index` finds requests by host. `peer_processes` cooperates with the placer's
+//! other processes. `shutdown`, `admin_commands`, `health_inputs` and `overload_report` implement what the platform and
+//! operators control and observe. The connection modules (`clients`,
+//! `hosts`, `feed`, `peers`) do not depend on dispatch, which implements their event traits.
 
 mod admin_commands;
 mod attempts;
@@ -33,6 +34,7 @@
 mod loop_lag;
 mod overload_log;
 mod overload_report;
+mod peer_processes;
 mod request;
 mod request_index;
 mod requests;
@@ -52,11 +54,15 @@
 use super::health::connection_limiter::ConnectionLimiter;
 use super::health::reporter::HealthReporter;
 use super::hosts::{ConnectCounters, ConnectionId, HostLink};
+use super::peers::PeerId;
+use super::peers::forwarded_releases::ForwardedReleases;
+use super::peers::remote_tasks::RemoteTasks;
 use super::timer_wheel::TimerWheel;
 use crate::operator::Operator;
 use async_executor::LocalExecutor;
 use loop_lag::LoopLag;
 use overload_log::OverloadLog;
+use peer_processes::PeerProcess;
 use request::{EndedTask, Request};
 use request_index::RequestIndex;
 use std::cell::RefCell;
@@ -154,6 +160,13 @@
     /// The limits of the placer, shared by all its processes.
     limits: Limits,
     process_group: ProcessGroup,
+    /// The other processes of this placer that are connected.
+    peers: BTreeMap<PeerId, PeerProcess>,
+    next_peer: u64,
+    /// The tasks that other processes are responsible for.
+    remote_tasks: RemoteTasks,
+    /// Releases of tasks that this process does not know.
+    forwarded_releases: ForwardedReleases,
     /// Whether the listening socket was inherited from the platform, so that other processes of this placer accept from
     /// it too.
     pub(super) shares_listener: bool,
@@ -212,6 +225,10 @@
             lifecycle: Lifecycle::default(),
             limits: config.limits,
             process_group: ProcessGroup::new(accounting_window),
+            peers: BTreeMap::new(),
+            next_peer: 0,
+            remote_tasks: RemoteTasks::default(),
+            forwarded_releases: ForwardedReleases::default(),
             shares_listener: false,
             closes_idle_clients: false,
             is_listening: false,
--- a/src/net/dispatch/admin_commands.rs
+++ b/src/net/dispatch/admin_commands.rs
@@ -69,18 +69,17 @@
 
     // ---- Starts and exits of the placer's other processes ----
 
-    /// Records that another process of this placer has started. Together they count as one placer and share its limits.
-    pub fn peer_joined(&mut self, age: PeerAge) {
-        let now = self.clock.now();
+    /// Shares the limits of the placer with a process that has connected: together they count as one placer.
+    pub(super) fn share_with_peer(&mut self, now: Micros, age: PeerAge) {
         let share = self.process_group.peer_joined(age);
         let decisions = self.facade.set_share(now, share);
         self.apply_decisions(now, decisions);
         self.apply_shared_limits();
     }
 
-    /// Records that another process of this placer has exited.
-    pub fn peer_exited(&mut self) {
-        self.process_group.peer_exited(self.clock.now());
+    /// Takes back the part of the limits that a process which has exited had used.
+    pub(super) fn share_without_peer(&mut self, now: Micros) {
+        self.process_group.peer_exited(now);
         self.apply_shared_limits();
     }
 
--- a/src/net/dispatch/client_messages.rs
+++ b/src/net/dispatch/client_messages.rs
@@ -10,6 +10,7 @@
 use crate::net::codec::binary::{self, ClientMessage};
 use crate::net::codec::{Cause, Malformed, TaskId, TaskRequest};
 use crate::net::conn::{CloseReason, Connection};
+use crate::net::peers::forwarded_releases::ReleaseSender;
 use std::rc::Rc;
 use task_placer::facade::{PlacementEvent, PlacementRequest, RequestKind, Ticket};
 use task_placer::health::Event;
@@ -143,7 +144,8 @@
     }
 
     /// Handles a client's release. It cancels a pending request if it arrives on the connection where the response is
-    /// pending, and ends a running task on any connection.
+    /// pending, and ends a running task on any connection, also if another process of this placer is responsible for
+    /// the task.
     fn handle_client_release(
         &mut self,
         now: Micros,
@@ -159,8 +161,14 @@
         match (known, is_own) {
             (Some(ticket), Some(true)) => return self.cancel_request(now, ticket),
             (Some(ticket), None) => self.release_running_task(now, ticket, cause),
-            // No task with this id is known, or its request belongs to another client: the release has no effect.
-            _ => {}
+            (None, _) => {
+                let sender = ReleaseSender::Client(client);
+                if self.release_unknown_task(now, id, cause, sender) {
+                    return;
+                }
+            }
+            // The request belongs to another client: the release has no effect.
+            (Some(_), Some(false)) => {}
         }
         self.clients.send(now, client, &binary::release_ack(id));
     }
@@ -184,7 +192,13 @@
             self.counters.record_response(class, RequestOutcome::Failed);
             return self.respond_invalid(now, client, id);
         }
-        let ticket = self.insert_request(now, id, client, &placement.class, RequestState::Queued);
+        let ticket = self.insert_request(
+            now,
+            id,
+            Some(client),
+            &placement.class,
+            RequestState::Queued,
+        );
         self.clients.response_pending(client, ticket);
         if let Some(request) = self.requests.get_mut(&ticket) {
             request.message = Some(message);
--- a/src/net/dispatch/requests.rs
+++ b/src/net/dispatch/requests.rs
@@ -25,7 +25,7 @@
 //! `sent_on` holds a connection once the attempt has been sent: see `attempts`.
 
 use super::connection_slots::ConnectionUse;
-use super::request::{EndedTask, Request, RequestState};
+use super::request::{Assignment, EndedTask, Request, RequestState};
 use super::{Dispatch, MILLISECOND};
 use crate::net::clients::ClientId;
 use crate::net::codec::TaskId;
@@ -38,7 +38,7 @@
         &mut self,
         now: Micros,
         id: TaskId,
-        client: ClientId,
+        client: Option<ClientId>,
         class: &str,
         state: RequestState,
     ) -> Ticket {
@@ -55,7 +55,7 @@
         }
         let request = Request {
             id,
-            client: Some(client),
+            client,
             message: None,
             attempts: 0,
             state,
@@ -64,6 +64,7 @@
             latency_objective,
             origin_client: None,
         };
+        self.announce_task(&request);
         self.requests.insert(ticket, request);
         ticket
     }
@@ -80,6 +81,9 @@
         if let Some((host, assignment)) = request.state.assignment() {
             self.request_index.insert(ticket, host, assignment);
         }
+        if let Some(request) = self.requests.get(&ticket) {
+            self.announce_task(request);
+        }
     }
 
     /// Removes a request from the table, and remembers its id as that of an ended task. The caller is responsible for
@@ -89,6 +93,9 @@
         if let Some((host, assignment)) = request.state.assignment() {
             self.request_index.remove(ticket, host, assignment);
             self.update_priorities(self.clock.now(), host, ConnectionUse::Unchanged);
+            if assignment == Assignment::Started {
+                self.announce_done(request.id);
+            }
         }
         if let Some(origin_client) = request.origin_client {
             self.clients.running_task_ended(origin_client);
--- a/src/net/dispatch/running_tasks.rs
+++ b/src/net/dispatch/running_tasks.rs
@@ -51,7 +51,7 @@
             host: host.clone(),
             since: now,
         };
-        let ticket = self.insert_request(now, id, client, &message.placement.class, state);
+        let ticket = self.insert_request(now, id, Some(client), &message.placement.class, state);
         info!(task = %id, host = &*host.0, connection = %client, "task adopted");
         self.assign_running_task(ticket, client);
         if self.hosts.contains_key(host) {
--- a/src/net/dispatch/timers.rs
+++ b/src/net/dispatch/timers.rs
@@ -28,6 +28,7 @@
         for timer in self.timer_wheel.due(now) {
             self.fire_timer(now, timer);
         }
+        self.check_peers(now);
         self.clients.resend_task_ends(now);
         self.close_quiescent_clients(now);
         let decisions = self.facade.tick(now);
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,7 +1,8 @@
 //! The network side of the placer: one thread that runs one local executor, whose tasks share one
 //! [`dispatch::Dispatch`].
 //!
-//! [`clients`], [`hosts`] and [`feed`] run the connections and pass their events to traits that dispatch implements.
+//! [`clients`], [`hosts`], [`feed`] and [`peers`] run the connections and pass their events to traits that dispatch
+//! implements.
 //! [`admin`], [`ctl`] and [`health`] serve operators and load balancers.
 
 mod admin;
@@ -17,6 +18,7 @@
 mod hosts;
 mod inherit;
 pub mod log;
+mod peers;
 mod retry;
 mod system_error;
 mod timer_wheel;
@@ -159,7 +161,7 @@
         let listen = self.addresses.listen;
         if let Some(inherited) = inherit::listener(listen).await? {
             self.shared.borrow_mut().shares_listener = true;
-            inherit::join_process_group(&self.addresses.name, &self.executor, &self.shared);
+            peers::group::join(&self.addresses.name, &self.executor, &self.shared);
             return Ok(inherited);
         }
         retry("listen", || accept::listen(listen))
