Keep the end of a task as a typed value until it is sent

The pending ends held encoded bytes. A process that exits has to tell another what is pending, so the end is a value now (TaskEnd: released with a cause, or migrated), and is encoded when it is sent.

--- a/src/net/clients/pending_task_ends.rs
+++ b/src/net/clients/pending_task_ends.rs
@@ -6,7 +6,7 @@
 //! connections on which it was sent.
 
 use super::id::ClientId;
-use crate::net::codec::TaskId;
+use crate::net::codec::{TaskEnd, TaskId};
 use std::collections::{BTreeMap, BTreeSet};
 use task_placer::Micros;
 
@@ -22,8 +22,8 @@
 
 /// The end of a task that no client has acknowledged yet.
 pub(super) struct PendingTaskEnd {
-    /// The encoded message.
-    pub(super) bytes: Vec<u8>,
+    /// What the client is told.
+    pub(super) end: TaskEnd,
     /// All connections on which the message was sent.
     tried: BTreeSet<ClientId>,
     /// Connections on which the message was sent in the last round.
@@ -37,9 +37,9 @@
 }
 
 impl PendingTaskEnd {
-    fn new(bytes: Vec<u8>) -> PendingTaskEnd {
+    fn new(end: TaskEnd) -> PendingTaskEnd {
         PendingTaskEnd {
-            bytes,
+            end,
             tried: BTreeSet::new(),
             last_round: Vec::new(),
             rounds: 0,
@@ -94,8 +94,8 @@
 
 impl PendingTaskEnds {
     /// Adds the end of a task that has not been sent yet.
-    pub(super) fn insert(&mut self, task: TaskId, bytes: Vec<u8>) {
-        self.ends.insert(task, PendingTaskEnd::new(bytes));
+    pub(super) fn insert(&mut self, task: TaskId, end: TaskEnd) {
+        self.ends.insert(task, PendingTaskEnd::new(end));
     }
 
     /// Returns the pending end of a task, if there is one.
--- a/src/net/clients/task_ends.rs
+++ b/src/net/clients/task_ends.rs
@@ -6,7 +6,7 @@
 use super::id::ClientId;
 use super::pending_task_ends::TaskEndCounters;
 use super::table::{Client, Clients};
-use crate::net::codec::TaskId;
+use crate::net::codec::{TaskEnd, TaskId, binary};
 use std::cmp::Reverse;
 use task_placer::Micros;
 use tracing::info;
@@ -62,23 +62,24 @@
         now: Micros,
         id: ClientId,
         task: TaskId,
-        bytes: Vec<u8>,
+        end: TaskEnd,
     ) {
+        let bytes = binary::task_end(task, end);
         let client = self.connections.get(&id);
         let is_sent =
             client.is_some_and(|client| !client.conn.is_closing() && client.conn.send(now, &bytes));
         if !is_sent {
-            return self.send_task_end(now, task, bytes);
+            return self.send_task_end(now, task, end);
         }
         info!(task = %task, connection = %id, "task end sent after its response");
-        self.task_ends.insert(task, bytes);
+        self.task_ends.insert(task, end);
         self.task_ends.record_round(now, task, vec![id]);
     }
 
     /// Sends the end of a task on the most suitable connection. If there is none, the task end is sent to the next
     /// client that sends a message.
-    pub fn send_task_end(&mut self, now: Micros, task: TaskId, bytes: Vec<u8>) {
-        self.task_ends.insert(task, bytes);
+    pub fn send_task_end(&mut self, now: Micros, task: TaskId, end: TaskEnd) {
+        self.task_ends.insert(task, end);
         self.deliver_task_end(now, task);
     }
 
@@ -110,10 +111,11 @@
             })
             .collect();
         candidates.sort_by_key(|(id, client)| Reverse((likelihood_of_delivery(client), **id)));
+        let bytes = binary::task_end(task, end.end);
         // A connection that fails before anything is written does not count as tried.
         let sent_on: Vec<ClientId> = candidates
             .into_iter()
-            .filter(|(_, client)| client.conn.send(now, &end.bytes))
+            .filter(|(_, client)| client.conn.send(now, &bytes))
             .map(|(id, _)| *id)
             .take(end.connections_per_round())
             .collect();
--- a/src/net/codec/binary.rs
+++ b/src/net/codec/binary.rs
@@ -3,7 +3,7 @@
 //! A message is `length:2 type:1 task:8 parameters`, and each parameter is `code:1 length:2 value`. The numbers are
 //! field sizes in bytes; all integers are big-endian.
 
-use super::{Cause, MAX_MESSAGE_BYTES, Malformed, TaskId, TaskRequest};
+use super::{Cause, MAX_MESSAGE_BYTES, Malformed, TaskEnd, TaskId, TaskRequest};
 use std::sync::Arc;
 use task_placer::facade::PlacementRequest;
 use task_placer::settings::{millis_to_micros, parse_number};
@@ -251,9 +251,12 @@
     message(kind::RELEASE_ACK, task, &[])
 }
 
-/// Encodes the notification that a task migrates, on which its client requests the task again ("move" on the wire).
-pub fn migrate(task: TaskId) -> Vec<u8> {
-    message(kind::MIGRATE, task, &[])
+/// Encodes what a client is told about a running task that is over for it.
+pub fn task_end(task: TaskId, end: TaskEnd) -> Vec<u8> {
+    match end {
+        TaskEnd::Released(cause) => release(task, cause, None),
+        TaskEnd::Migrated => message(kind::MIGRATE, task, &[]),
+    }
 }
 
 /// Encodes the result of a health check ("tested" on the wire).
--- a/src/net/codec/binary/tests.rs
+++ b/src/net/codec/binary/tests.rs
@@ -128,7 +128,7 @@
             &[171, 0, 1, 42, 147, 0, 3, b'2', b'5', b'0'],
         ),
         (release_ack(id), 16, &[]),
-        (migrate(id), 51, &[]),
+        (task_end(id, TaskEnd::Migrated), 51, &[]),
         (health_check_result(id, true), 53, &[171, 0, 1, 1]),
     ];
     for (bytes, kind, parameters) in cases {
--- a/src/net/codec/mod.rs
+++ b/src/net/codec/mod.rs
@@ -47,6 +47,15 @@
     pub const NOT_SENT: Cause = Cause(102);
 }
 
+/// What a client is told about a running task that is over for it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum TaskEnd {
+    /// The task has ended with this cause.
+    Released(Cause),
+    /// The task is migrated: its client requests it again ("move" on the wire).
+    Migrated,
+}
+
 /// A client's request to place or adopt a task ("set-up" on the wire).
 #[derive(Debug, Clone, PartialEq)]
 pub struct TaskRequest {
--- a/src/net/dispatch/running_tasks.rs
+++ b/src/net/dispatch/running_tasks.rs
@@ -8,7 +8,7 @@
 use super::timer_event::TimerEvent;
 use super::{Dispatch, MILLISECOND};
 use crate::net::clients::ClientId;
-use crate::net::codec::{Cause, TaskId, TaskRequest, binary, lines};
+use crate::net::codec::{Cause, TaskEnd, TaskId, TaskRequest, binary, lines};
 use crate::net::hosts::HostLink;
 use task_placer::facade::{PlacementEvent, RequestKind, Ticket};
 use task_placer::{EndpointState, HostId, Micros, Outcome, OutcomeDetail};
@@ -106,7 +106,7 @@
         };
         if let RequestState::Running { since, .. } = request.state {
             let (id, origin_client) = (request.id, request.origin_client);
-            self.notify_task_end(now, id, origin_client, since, binary::migrate(id));
+            self.notify_task_end(now, id, origin_client, since, TaskEnd::Migrated);
             self.release_running_task(now, ticket, Cause::CANCELLED);
         }
     }
@@ -119,14 +119,14 @@
         id: TaskId,
         origin_client: Option<ClientId>,
         since: Micros,
-        message: Vec<u8>,
+        end: TaskEnd,
     ) {
         match origin_client {
             Some(client) if now - since < RESPONSE_DELIVERY_TIME => {
                 self.clients
-                    .send_task_end_after_response(now, client, id, message);
+                    .send_task_end_after_response(now, client, id, end);
             }
-            _ => self.clients.send_task_end(now, id, message),
+            _ => self.clients.send_task_end(now, id, end),
         }
     }
 
@@ -252,8 +252,8 @@
                 host,
                 since,
             } => {
-                let message = binary::release(request.id, cause, None);
-                self.notify_task_end(now, request.id, request.origin_client, since, message);
+                let end = TaskEnd::Released(cause);
+                self.notify_task_end(now, request.id, request.origin_client, since, end);
                 (attempt, host, since, outcome_of_release(cause))
             }
             RequestState::Releasing {
