Tell a task's end from the process that has a client, also after the exit of another

Cause: an end that waits for a client was known to the process that had read it, and is_finished does not count what waits. The host had its acknowledgement and repeats an end only on a connection that opens later. Evidence: the old log has `task end waits for a client`, the new one has no line of these tasks. The same cause on related paths: ends read in the last 100 ms before the exit, ends that the exiting process never read, and host releases that reach the process that is not responsible.

Change: processes announce ends until a client has acknowledged them; a process with a client claims what waits at another; an exit, also by SIGKILL, leaves the announced ends to the other process, which connects anew to the hosts concerned. Host releases are passed on. A process that exits stops reading from hosts first. A task named elsewhere passes to that process.

--- a/src/net/clients/pending_task_ends.rs
+++ b/src/net/clients/pending_task_ends.rs
@@ -4,8 +4,12 @@
 //! Handing a task end to a socket does not prove delivery: the client may have stopped reading while its connection
 //! stays open, or may not know the task. Each task end is therefore kept until it is acknowledged, together with the
 //! connections on which it was sent.
+//!
+//! Another process of the placer may take over a task end that waits for a client. What was tried here is remembered, in
+//! case the task end comes back.
 
 use super::id::ClientId;
+use crate::net::codec::peer::EndDelivery;
 use crate::net::codec::{TaskEnd, TaskId};
 use std::collections::{BTreeMap, BTreeSet};
 use task_placer::Micros;
@@ -34,6 +38,8 @@
     sent_at: Option<Micros>,
     /// Whether the message has been sent on every usable connection, so that it waits for a new client.
     waits_for_client: bool,
+    /// The delivery that was last announced to the placer's other processes, if any was.
+    announced: Option<EndDelivery>,
 }
 
 impl PendingTaskEnd {
@@ -45,6 +51,15 @@
             rounds: 0,
             sent_at: None,
             waits_for_client: false,
+            announced: None,
+        }
+    }
+
+    fn delivery(&self) -> EndDelivery {
+        if self.waits_for_client {
+            EndDelivery::WaitsForClient
+        } else {
+            EndDelivery::InProgress
         }
     }
 
@@ -88,14 +103,75 @@
 #[derive(Default)]
 pub(super) struct PendingTaskEnds {
     ends: BTreeMap<TaskId, PendingTaskEnd>,
+    /// Task ends that another process has taken over.
+    taken_over: BTreeMap<TaskId, PendingTaskEnd>,
+    /// Tasks whose ends have been acknowledged or discarded since the last call of `drain_finished`.
+    finished: Vec<TaskId>,
     /// The cumulative counters. The fields for current numbers stay 0 here and are computed on demand.
     totals: TaskEndCounters,
 }
 
 impl PendingTaskEnds {
-    /// Adds the end of a task that has not been sent yet.
+    /// Adds the end of a task that has not been sent yet, or that another process had taken over.
     pub(super) fn insert(&mut self, task: TaskId, end: TaskEnd) {
-        self.ends.insert(task, PendingTaskEnd::new(end));
+        let known = self.taken_over.remove(&task);
+        let pending = known.unwrap_or_else(|| PendingTaskEnd::new(end));
+        let pending = PendingTaskEnd {
+            end,
+            announced: None,
+            ..pending
+        };
+        self.ends.insert(task, pending);
+    }
+
+    /// Removes a task end that waits for a client, because another process takes it over. Returns what the client is to
+    /// be told.
+    pub(super) fn hand_over_waiting(&mut self, task: TaskId) -> Option<TaskEnd> {
+        if !self.ends.get(&task)?.waits_for_client {
+            return None;
+        }
+        let pending = self.ends.remove(&task)?;
+        let end = pending.end;
+        self.taken_over.insert(task, pending);
+        Some(end)
+    }
+
+    /// Returns whether a task end has never been sent on this connection, as far as it is or was pending here.
+    pub(super) fn is_untried(&self, task: TaskId, id: ClientId) -> bool {
+        let pending = self.ends.get(&task).or_else(|| self.taken_over.get(&task));
+        pending.is_none_or(|end| !end.was_sent_on(id))
+    }
+
+    /// Forgets a task end that another process has taken over, since that process no longer needs it.
+    pub(super) fn forget_taken_over(&mut self, task: TaskId) {
+        self.taken_over.remove(&task);
+    }
+
+    /// Returns all task ends with their delivery, and notes that it has been announced.
+    pub(super) fn announce_all(&mut self) -> Vec<(TaskId, TaskEnd, EndDelivery)> {
+        self.announce_if(|_| true)
+    }
+
+    /// Returns the task ends whose delivery differs from the announced one, and notes that it has been announced.
+    pub(super) fn announce_changes(&mut self) -> Vec<(TaskId, TaskEnd, EndDelivery)> {
+        self.announce_if(|end| end.announced != Some(end.delivery()))
+    }
+
+    fn announce_if(
+        &mut self,
+        condition: impl Fn(&PendingTaskEnd) -> bool,
+    ) -> Vec<(TaskId, TaskEnd, EndDelivery)> {
+        let mut announced = Vec::new();
+        for (task, end) in self.ends.iter_mut().filter(|(_, end)| condition(end)) {
+            end.announced = Some(end.delivery());
+            announced.push((*task, end.end, end.delivery()));
+        }
+        announced
+    }
+
+    /// Returns the tasks whose ends have been acknowledged or discarded since the last call.
+    pub(super) fn drain_finished(&mut self) -> Vec<TaskId> {
+        std::mem::take(&mut self.finished)
     }
 
     /// Returns the pending end of a task, if there is one.
@@ -127,7 +203,10 @@
     /// Removes a task end that a client has acknowledged, and returns whether it was pending.
     pub(super) fn acknowledge(&mut self, task: TaskId) -> bool {
         let was_pending = self.ends.remove(&task).is_some();
-        self.totals.acknowledged += u64::from(was_pending);
+        if was_pending {
+            self.totals.acknowledged += 1;
+            self.finished.push(task);
+        }
         was_pending
     }
 
@@ -174,8 +253,18 @@
 
     /// Discards task ends that were sent and not acknowledged within the maximum time.
     pub(super) fn forget_old(&mut self, now: Micros) {
-        self.ends
-            .retain(|_, end| end.sent_at.is_none() || end.sent_within(now, MAX_UNACKNOWLEDGED));
+        let is_old = |end: &PendingTaskEnd| {
+            end.sent_at.is_some() && !end.sent_within(now, MAX_UNACKNOWLEDGED)
+        };
+        let old = self.ends.iter().filter(|(_, end)| is_old(end));
+        self.finished.extend(old.map(|(task, _)| *task));
+        self.ends.retain(|_, end| !is_old(end));
+        self.taken_over.retain(|_, end| !is_old(end));
+    }
+
+    /// Discards a task end whose client gets it from another process.
+    pub(super) fn discard(&mut self, task: TaskId) {
+        self.ends.remove(&task);
     }
 
     /// Returns the number of task ends that were never sent, or were sent so recently that the client may not have read
--- a/src/net/clients/task_ends.rs
+++ b/src/net/clients/task_ends.rs
@@ -6,6 +6,7 @@
 use super::id::ClientId;
 use super::pending_task_ends::TaskEndCounters;
 use super::table::{Client, Clients};
+use crate::net::codec::peer::EndDelivery;
 use crate::net::codec::{TaskEnd, TaskId, binary};
 use std::cmp::Reverse;
 use task_placer::Micros;
@@ -28,6 +29,54 @@
         self.task_ends.is_delivering(now)
     }
 
+    // ---- Task ends that the placer's processes take over from each other ----
+
+    /// Returns whether the end of a task, which another process has announced, can be sent on a connection of this
+    /// process on which it was not sent before.
+    pub fn can_deliver_end_of(&self, task: TaskId) -> bool {
+        self.connections.iter().any(|(id, client)| {
+            client.is_client && !client.conn.is_closing() && self.task_ends.is_untried(task, *id)
+        })
+    }
+
+    /// Removes a task end that waits for a client, because another process takes it over. Returns what the client is to
+    /// be told, or `None` if no such end waits.
+    pub fn hand_over_waiting_end(&mut self, task: TaskId) -> Option<TaskEnd> {
+        self.task_ends.hand_over_waiting(task)
+    }
+
+    /// Forgets a task end that another process has taken over, since that process no longer needs it.
+    pub fn forget_taken_over_end(&mut self, task: TaskId) {
+        self.task_ends.forget_taken_over(task);
+    }
+
+    /// Discards a task end, because its client gets it from another process.
+    pub fn discard_task_end(&mut self, task: TaskId) {
+        self.task_ends.discard(task);
+    }
+
+    /// Returns whether the end of a task is pending.
+    pub fn has_pending_end(&self, task: TaskId) -> bool {
+        self.task_ends.get(task).is_some()
+    }
+
+    /// Returns all pending task ends, to be announced to another process.
+    pub fn announce_all_task_ends(&mut self) -> Vec<(TaskId, TaskEnd, EndDelivery)> {
+        self.task_ends.announce_all()
+    }
+
+    /// Returns the task ends whose delivery has changed since it was last announced to the other processes.
+    pub fn announce_task_end_changes(&mut self) -> Vec<(TaskId, TaskEnd, EndDelivery)> {
+        self.task_ends.announce_changes()
+    }
+
+    /// Returns the tasks whose ends have been acknowledged or discarded since the last call.
+    pub fn drain_finished_task_ends(&mut self) -> Vec<TaskId> {
+        self.task_ends.drain_finished()
+    }
+
+    // ---- Delivery ----
+
     /// Records that a client has acknowledged the end of this task on connection `id`.
     pub fn task_end_acknowledged(&mut self, id: ClientId, task: TaskId) {
         if !self.task_ends.acknowledge(task) {
@@ -76,6 +125,15 @@
         self.task_ends.record_round(now, task, vec![id]);
     }
 
+    /// Tells a client that has named a task that it is over, and keeps the end until it is acknowledged. An end that has
+    /// already been sent on this connection is not sent again.
+    pub fn send_task_end_to(&mut self, now: Micros, id: ClientId, task: TaskId, end: TaskEnd) {
+        if self.has_pending_end(task) && !self.task_ends.is_untried(task, id) {
+            return;
+        }
+        self.send_task_end_after_response(now, id, task, end);
+    }
+
     /// Sends the end of a task on the most suitable connection. If there is none, the task end is sent to the next
     /// client that sends a message.
     pub fn send_task_end(&mut self, now: Micros, task: TaskId, end: TaskEnd) {
--- a/src/net/codec/lines.rs
+++ b/src/net/codec/lines.rs
@@ -78,7 +78,7 @@
 }
 
 /// Returns the detail that the note in a host's release message denotes.
-fn outcome_detail(note: Option<&str>) -> OutcomeDetail {
+pub(super) fn outcome_detail(note: Option<&str>) -> OutcomeDetail {
     match note {
         Some("nc") => OutcomeDetail::NoCores,
         Some("nm") => OutcomeDetail::NoMemory,
@@ -91,6 +91,20 @@
     }
 }
 
+/// Returns the note that denotes a detail, or an empty text if none does.
+pub(super) fn outcome_note(detail: OutcomeDetail) -> &'static str {
+    match detail {
+        OutcomeDetail::Unknown => "",
+        OutcomeDetail::NoCores => "nc",
+        OutcomeDetail::NoMemory => "nm",
+        OutcomeDetail::QueueFull => "nq",
+        OutcomeDetail::NotEligible => "nh",
+        OutcomeDetail::Evicted => "ev",
+        OutcomeDetail::Preempted => "pre",
+        OutcomeDetail::Drained => "dr",
+    }
+}
+
 /// Returns what a report is about, according to its note.
 fn task_report(note: Option<&str>) -> TaskReport {
     match note {
--- a/src/net/codec/peer/tests.rs
+++ b/src/net/codec/peer/tests.rs
@@ -9,29 +9,32 @@
 #[test]
 fn messages_are_read_as_they_were_written() {
     let task = TaskId(0x51);
-    let messages = [
+    let long_name = "x".repeat(MAX_HOST_BYTES);
+    let delivery = [EndDelivery::InProgress, EndDelivery::WaitsForClient];
+    let states = [
+        PeerTaskState::Running(host("s-1\"\\\n")),
+        PeerTaskState::Releasing(host(&long_name), Cause::CANCELLED),
+        PeerTaskState::Ended(TaskEnd::Released(Cause(16)), delivery[0]),
+        PeerTaskState::Ended(TaskEnd::Migrated, delivery[1]),
+    ];
+    let mut messages = vec![
         PeerMessage::Hello,
-        PeerMessage::Task {
-            task,
-            host: host("s-1\"\\\n"),
-            state: PeerTaskState::Running,
-        },
-        PeerMessage::Task {
-            task,
-            host: host(&"x".repeat(MAX_HOST_BYTES)),
-            state: PeerTaskState::Releasing(Cause::CANCELLED),
-        },
         PeerMessage::Done(task),
         PeerMessage::Release(task, Cause(16)),
-        PeerMessage::ReleaseReply {
-            task,
-            is_known: true,
-        },
-        PeerMessage::ReleaseReply {
-            task,
-            is_known: false,
-        },
+        PeerMessage::Claim(task),
+        PeerMessage::Grant(task),
+        PeerMessage::Adopted(task),
     ];
+    messages.extend(states.map(|state| PeerMessage::Task(task, state)));
+    messages.extend([true, false].map(|is_known| PeerMessage::ReleaseReply { task, is_known }));
+    messages.extend(
+        [OutcomeDetail::Unknown, OutcomeDetail::Preempted].map(|detail| PeerMessage::HostRelease {
+            task,
+            host: host("s"),
+            cause: Cause(41),
+            detail,
+        }),
+    );
     for message in messages {
         let mut line = write(&message).expect("the message can be sent");
         assert_eq!(line.pop(), Some(b'\n'), "{message:?}");
@@ -44,11 +47,7 @@
 #[test]
 fn task_at_a_host_with_too_long_a_name_is_not_announced() {
     for name in [String::new(), "x".repeat(MAX_HOST_BYTES + 1)] {
-        let message = PeerMessage::Task {
-            task: TaskId(1),
-            host: host(&name),
-            state: PeerTaskState::Running,
-        };
+        let message = PeerMessage::Task(TaskId(1), PeerTaskState::Running(host(&name)));
         assert_eq!(write(&message), None, "{} bytes", name.len());
     }
 }
@@ -75,9 +74,18 @@
             Malformed::Field("known"),
         ),
         (
-            &format!("{{\"t\":\"task\",\"ref\":\"{id}\",\"f\":{{}}}}"),
+            &format!("{{\"t\":\"task\",\"ref\":\"{id}\",\"f\":{{\"state\":\"running\"}}}}"),
+            Malformed::Field("host"),
+        ),
+        (
+            &format!("{{\"t\":\"task\",\"ref\":\"{id}\",\"f\":{{\"state\":\"ended\"}}}}"),
+            Malformed::Field("end"),
+        ),
+        (
+            &format!("{{\"t\":\"down\",\"ref\":\"{id}\",\"c\":16}}"),
             Malformed::Field("host"),
         ),
+        ("{\"t\":\"claim\",\"ref\":16}", Malformed::Field("ref")),
         (
             &format!(
                 "{{\"t\":\"task\",\"ref\":\"{id}\",\"f\":{{\"host\":\"s\",\"state\":\"lost\"}}}}"
--- a/src/net/dispatch.rs
+++ b/src/net/dispatch.rs
@@ -15,8 +15,8 @@
 //! ```
 //!
 //! `request` and `timer_event` define the data types. `requests` maintains the table of requests and has a diagram of
-//! their states; `request_index` finds requests by host. `peer_processes` cooperates with the placer's
-//! other processes. `shutdown`, `admin_commands`, `health_inputs` and `overload_report` implement what the platform and
+//! their states; `request_index` finds requests by host. `peer_processes` and `peer_task_ends` cooperate with the
+//! placer's other processes. `shutdown`, `admin_commands`, `health_inputs` and `overload_report` implement what the platform and
 //! operators control and observe. The connection modules (`clients`,
 //! `hosts`, `feed`, `peers`) do not depend on dispatch, which implements their event traits.
 
@@ -35,6 +35,7 @@
 mod overload_log;
 mod overload_report;
 mod peer_processes;
+mod peer_task_ends;
 mod request;
 mod request_index;
 mod requests;
@@ -151,6 +152,8 @@
     pub(super) operator_connections: Vec<Rc<ConnectionLimiter>>,
     /// Whether a drain is complete, so that the process may exit.
     is_drained: bool,
+    /// Whether the process is about to exit, so that no further connection to a host is made.
+    is_exiting: bool,
     /// Whether this process accepts requests, according to the platform's commands.
     lifecycle: Lifecycle,
     /// Counts requests and attempts by class.
@@ -165,6 +168,8 @@
     next_peer: u64,
     /// The tasks that other processes are responsible for.
     remote_tasks: RemoteTasks,
+    /// Tasks that have ended since the other processes were last told so.
+    ended_since_announcement: Vec<TaskId>,
     /// Releases of tasks that this process does not know.
     forwarded_releases: ForwardedReleases,
     /// Whether the listening socket was inherited from the platform, so that other processes of this placer accept from
@@ -222,12 +227,14 @@
             balancer_connections: Rc::new(ConnectionLimiter::new(operator.health.max_connections)),
             operator_connections: Vec::new(),
             is_drained: false,
+            is_exiting: false,
             lifecycle: Lifecycle::default(),
             limits: config.limits,
             process_group: ProcessGroup::new(accounting_window),
             peers: BTreeMap::new(),
             next_peer: 0,
             remote_tasks: RemoteTasks::default(),
+            ended_since_announcement: Vec::new(),
             forwarded_releases: ForwardedReleases::default(),
             shares_listener: false,
             closes_idle_clients: false,
--- a/src/net/dispatch/connection_slots.rs
+++ b/src/net/dispatch/connection_slots.rs
@@ -57,6 +57,9 @@
     /// put a price on connections, a connection is made only when the host is needed for something: otherwise hundreds
     /// of placers would connect to every host when they start, although each of them needs only a few.
     pub(super) fn connection_need(&self, host: &HostId) -> Option<ConnectPurpose> {
+        if self.is_exiting {
+            return None;
+        }
         let link = self.hosts.get(host)?;
         let is_second = match &link.connection {
             ConnectionState::Connecting(_) => return None,
@@ -70,7 +73,7 @@
             None
         } else if is_second || self.has_unconfirmed_releases(host) {
             Some(ConnectPurpose::ReportRelease)
-        } else if self.request_index.has_running_tasks(host) {
+        } else if self.awaits_task_ends(host) {
             Some(ConnectPurpose::ReadTaskEnds)
         } else {
             (link.state == EndpointState::Up && self.preconnects).then_some(ConnectPurpose::Prewarm)
@@ -149,7 +152,7 @@
         if let ConnectionState::Connected(_) = &link.connection {
             let priority = if self.has_attempt_in_flight_on(host, link.connection_id) {
                 ConnectionPriority::Busy
-            } else if self.request_index.has_running_tasks(host) {
+            } else if self.awaits_task_ends(host) {
                 ConnectionPriority::HasRunningTasks
             } else {
                 ConnectionPriority::Idle
--- a/src/net/dispatch/host_connections.rs
+++ b/src/net/dispatch/host_connections.rs
@@ -116,6 +116,8 @@
 
     fn host_message(&mut self, host: &HostId, id: TaskId, message: HostMessage) {
         self.handle_host_message(host, id, message);
+        // The other processes learn at once of an end that the host may not repeat, in case this process is killed.
+        self.announce_task_ends();
     }
 
     /// Ends the attempts that were sent on the connection, which may have run. Running tasks are not affected.
@@ -334,12 +336,12 @@
         }
     }
 
-    /// Requests a second connection to a connected host, if tasks run there.
+    /// Requests a second connection to a connected host, if ends of tasks are awaited from it.
     ///
     /// This recovers ends of tasks that were in transit on a connection when it broke: the host repeats them on the
     /// next connection that opens, whichever of its connections they were lost on.
-    fn request_repeated_ends(&mut self, now: Micros, host: &HostId) {
-        if !self.request_index.has_running_tasks(host) {
+    pub(super) fn request_repeated_ends(&mut self, now: Micros, host: &HostId) {
+        if !self.awaits_task_ends(host) {
             return;
         }
         let Some(link) = self.hosts.get_mut(host) else {
--- a/src/net/dispatch/host_messages.rs
+++ b/src/net/dispatch/host_messages.rs
@@ -3,7 +3,7 @@
 //! never decides what happens next: the decision module does.
 
 use super::connection_slots::ConnectionUse;
-use super::request::{Assignment, EndedTask, HostRelease, RequestState};
+use super::request::{Assignment, HostRelease, RequestState};
 use super::responses::StartedTask;
 use super::{Dispatch, MILLISECOND};
 use crate::net::codec::lines::{self, HostMessage};
@@ -21,10 +21,24 @@
         if let Some(link) = self.hosts.get_mut(host) {
             (link.last_message_at, link.is_suspect) = (now, false);
         }
+        if self.tickets_by_task.contains_key(&id) {
+            return self.handle_message_of_assigned_host(host, id, message);
+        }
+        self.handle_unknown_task_message(now, host, id, message);
+    }
+
+    /// Handles a message about a task that is in the table, if it comes from the host that the task is assigned to.
+    pub(super) fn handle_message_of_assigned_host(
+        &mut self,
+        host: &HostId,
+        id: TaskId,
+        message: HostMessage,
+    ) {
+        let now = self.clock.now();
         let ticket = self.tickets_by_task.get(&id).copied();
         let known = ticket.and_then(|ticket| Some((ticket, self.requests.get(&ticket)?)));
         let Some((ticket, request)) = known else {
-            return self.handle_unknown_task_message(now, host, id, message);
+            return;
         };
         match request.state.assignment() {
             Some((at, Assignment::InFlight)) if at == host => {
@@ -37,8 +51,8 @@
         }
     }
 
-    /// Handles a message about a task that is not in the table: a release is acknowledged and remembered, anything else
-    /// is ignored.
+    /// Handles a message about a task that is not in the table: a release is acknowledged and remembered, and may
+    /// concern another process of the placer; anything else is ignored.
     fn handle_unknown_task_message(
         &mut self,
         now: Micros,
@@ -46,16 +60,10 @@
         id: TaskId,
         message: HostMessage,
     ) {
-        if let HostMessage::Released(cause, _) = message {
+        if let HostMessage::Released(cause, detail) = message {
             self.acknowledge_release(now, host, id);
-            let ended = EndedTask {
-                released_by: Some(HostRelease {
-                    host: host.clone(),
-                    cause,
-                }),
-                ended_at: now,
-            };
-            self.ended_tasks.insert(id, ended);
+            let host = host.clone();
+            self.handle_unknown_release(now, id, HostRelease { host, cause }, detail, None);
         }
     }
 
--- a/src/net/dispatch/peer_processes.rs
+++ b/src/net/dispatch/peer_processes.rs
@@ -6,12 +6,11 @@
 //! accepted. That process asks the others, and replies to the client once one of them has handled the release. If the
 //! responsible process exits or does not reply, the release is sent to the task's host from here.
 
-use super::request::{Request, RequestState};
+use super::request::{HostRelease, Request, RequestState};
 use super::{Dispatch, MILLISECOND};
 use crate::net::codec::peer::{self, PeerMessage, PeerTaskState};
 use crate::net::codec::{Cause, TaskId, binary};
 use crate::net::peers::forwarded_releases::{ReleaseSender, Settled};
-use crate::net::peers::remote_tasks::RemoteTask;
 use crate::net::peers::{PeerEvents, PeerId, PeerLink};
 use std::collections::BTreeSet;
 use std::rc::Rc;
@@ -69,10 +68,8 @@
         let now = self.clock.now();
         match message {
             PeerMessage::Hello => self.handle_hello(peer),
-            PeerMessage::Task { task, host, state } => {
-                self.remote_tasks.announce(peer, task, host, state);
-            }
-            PeerMessage::Done(task) => self.remote_tasks.withdraw(peer, task),
+            PeerMessage::Task(task, state) => self.handle_peer_task(peer, task, state),
+            PeerMessage::Done(task) => self.handle_peer_done(peer, task),
             PeerMessage::Release(task, cause) => {
                 self.handle_forwarded_release(now, peer, task, cause);
             }
@@ -80,6 +77,18 @@
                 let settled = self.forwarded_releases.replied(peer, task, is_known);
                 self.settle_releases(now, settled);
             }
+            PeerMessage::Claim(task) => self.handle_claim(peer, task),
+            PeerMessage::Grant(task) => self.handle_grant(now, peer, task),
+            PeerMessage::HostRelease {
+                task,
+                host,
+                cause,
+                detail,
+            } => {
+                let release = HostRelease { host, cause };
+                self.handle_forwarded_host_release(now, peer, task, release, detail);
+            }
+            PeerMessage::Adopted(task) => self.handle_adopted(now, peer, task),
             PeerMessage::Other => {}
         }
     }
@@ -94,9 +103,7 @@
         self.peers.remove(&peer);
         let orphans = self.remote_tasks.peer_exited(now, peer);
         info!(peer = %peer, tasks = orphans.len(), "other process exited");
-        for (task, remote) in orphans {
-            self.take_over_from_exited(now, task, remote);
-        }
+        self.take_over_from_exited(now, orphans);
         let settled = self.forwarded_releases.peer_gone(peer);
         self.settle_releases(now, settled);
         self.share_without_peer(now);
@@ -106,25 +113,32 @@
 impl Dispatch {
     // ---- Messages to other processes ----
 
-    fn send_to_peer(&self, peer: PeerId, message: &PeerMessage) {
+    pub(super) fn send_to_peer(&self, peer: PeerId, message: &PeerMessage) {
         let process = self.peers.get(&peer);
         if let (Some(process), Some(line)) = (process, peer::write(message)) {
             process.link.send(&line);
         }
     }
 
+    /// Returns the processes that exchange messages.
+    pub(super) fn active_peers(&self) -> impl Iterator<Item = PeerId> + '_ {
+        let peers = self.peers.iter();
+        let active = peers.filter(|(_, process)| process.exchange == Exchange::Active);
+        active.map(|(peer, _)| *peer)
+    }
+
     /// Sends a message to all processes that exchange messages.
-    fn announce(&self, message: &PeerMessage) {
-        let active = |peer: &&PeerProcess| peer.exchange == Exchange::Active;
-        let mut active = self.peers.values().filter(active).peekable();
-        if active.peek().is_none() {
-            return;
-        }
-        if let Some(line) = peer::write(message) {
-            active.for_each(|peer| peer.link.send(&line));
+    pub(super) fn announce(&self, message: &PeerMessage) {
+        for peer in self.active_peers() {
+            self.send_to_peer(peer, message);
         }
     }
 
+    /// Whether all messages to other processes have been handed to the kernel.
+    pub fn peers_are_flushed(&self) -> bool {
+        self.peers.values().all(|process| process.link.is_flushed())
+    }
+
     /// Announces the task of a request, if it has started.
     pub(super) fn announce_task(&self, request: &Request) {
         if !self.peers.is_empty()
@@ -134,19 +148,13 @@
         }
     }
 
-    /// Announces that this process is no longer responsible for a task.
-    pub(super) fn announce_done(&self, task: TaskId) {
-        if !self.peers.is_empty() {
-            self.announce(&PeerMessage::Done(task));
-        }
-    }
-
     /// Sends a process all tasks that this process is responsible for, and the releases that may concern it.
     fn send_all_to_peer(&mut self, peer: PeerId) {
         let requests = self.requests.values();
         for message in requests.filter_map(task_message) {
             self.send_to_peer(peer, &message);
         }
+        self.send_task_ends_to_peer(peer);
         for (task, cause) in self.forwarded_releases.for_peer(peer) {
             self.send_to_peer(peer, &PeerMessage::Release(task, cause));
         }
@@ -189,7 +197,7 @@
         sender: ReleaseSender,
     ) -> ForwardResult {
         if let Some(remote) = self.remote_tasks.take_orphan(task) {
-            self.continue_release(now, task, remote.host, cause);
+            self.release_in_place_of_peer(now, task, &remote.state, cause);
             return ForwardResult::Handled;
         }
         if !self.shares_listener || self.ended_tasks.contains_key(&task) {
@@ -260,13 +268,31 @@
         let Some(remote) = self.remote_tasks.take(task) else {
             return self.tickets_by_task.contains_key(&task);
         };
-        self.continue_release(now, task, remote.host, cause);
+        self.release_in_place_of_peer(now, task, &remote.state, cause);
         self.forwarded_releases.remove(task);
         true
     }
 
+    fn release_in_place_of_peer(
+        &mut self,
+        now: Micros,
+        task: TaskId,
+        state: &PeerTaskState,
+        cause: Cause,
+    ) {
+        if let Some(host) = state.host() {
+            self.continue_release(now, task, host.clone(), cause);
+        }
+    }
+
     /// Releases a task at its host in place of another process of the placer.
-    fn continue_release(&mut self, now: Micros, task: TaskId, host: HostId, cause: Cause) {
+    pub(super) fn continue_release(
+        &mut self,
+        now: Micros,
+        task: TaskId,
+        host: HostId,
+        cause: Cause,
+    ) {
         if self.tickets_by_task.contains_key(&task) {
             return;
         }
@@ -280,17 +306,6 @@
         self.release_running_task(now, ticket, cause);
     }
 
-    /// Takes over what a process has left unfinished at its exit.
-    fn take_over_from_exited(&mut self, now: Micros, task: TaskId, remote: RemoteTask) {
-        match remote.state {
-            PeerTaskState::Running => {}
-            PeerTaskState::Releasing(cause) => {
-                self.remote_tasks.take(task);
-                self.continue_release(now, task, remote.host, cause);
-            }
-        }
-    }
-
     /// Handles what is due about other processes: those that have not shown in time that they exchange messages, replies
     /// that have not come in time, and tasks that were kept for long enough.
     pub(super) fn check_peers(&mut self, now: Micros) {
@@ -313,14 +328,12 @@
 
 /// Returns the announcement of a request's task, if it has started.
 fn task_message(request: &Request) -> Option<PeerMessage> {
-    let (host, state) = match &request.state {
+    let state = match &request.state {
         RequestState::Queued | RequestState::InFlight { .. } => return None,
-        RequestState::Running { host, .. } => (host, PeerTaskState::Running),
-        RequestState::Releasing { host, cause, .. } => (host, PeerTaskState::Releasing(*cause)),
+        RequestState::Running { host, .. } => PeerTaskState::Running(host.clone()),
+        RequestState::Releasing { host, cause, .. } => {
+            PeerTaskState::Releasing(host.clone(), *cause)
+        }
     };
-    Some(PeerMessage::Task {
-        task: request.id,
-        host: host.clone(),
-        state,
-    })
+    Some(PeerMessage::Task(request.id, state))
 }
--- a/src/net/dispatch/requests.rs
+++ b/src/net/dispatch/requests.rs
@@ -94,7 +94,7 @@
             self.request_index.remove(ticket, host, assignment);
             self.update_priorities(self.clock.now(), host, ConnectionUse::Unchanged);
             if assignment == Assignment::Started {
-                self.announce_done(request.id);
+                self.ended_since_announcement.push(request.id);
             }
         }
         if let Some(origin_client) = request.origin_client {
--- a/src/net/dispatch/running_tasks.rs
+++ b/src/net/dispatch/running_tasks.rs
@@ -36,16 +36,18 @@
         message: &TaskRequest,
         host: &HostId,
     ) {
-        let invalid = self.check_adoption(id, message).err();
-        let cause = self
-            .end_before_adoption(id, host)
-            .or(invalid.as_ref().map(|_| Cause::RESET));
-        if let Some(cause) = cause {
-            let reason = invalid.map_or_else(|| "released".to_string(), |why| why.to_string());
-            info!(task = %id, reason, host = &*host.0, "task not running");
-            let message = binary::release(id, cause, None);
+        if let Err(reason) = self.check_adoption(id, message) {
+            info!(task = %id, %reason, host = &*host.0, "task not running");
+            let message = binary::release(id, Cause::RESET, None);
             return self.clients.send(now, client, &message);
         }
+        let end = self
+            .take_over_adopted(id)
+            .or_else(|| self.end_before_adoption(id, host).map(TaskEnd::Released));
+        if let Some(end) = end {
+            info!(task = %id, reason = "released", host = &*host.0, "task not running");
+            return self.clients.send_task_end_to(now, client, id, end);
+        }
         let state = RequestState::Running {
             attempt: 0,
             host: host.clone(),
--- a/src/net/dispatch/shutdown.rs
+++ b/src/net/dispatch/shutdown.rs
@@ -147,6 +147,16 @@
         }
     }
 
+    /// Stops reading from hosts and connecting to them, when the process is about to exit. What a host sends from now on
+    /// could not be passed on to a client: it stays unread, and the host repeats it on its next connection.
+    pub fn stop_reading_hosts(&mut self) {
+        self.is_exiting = true;
+        for link in self.hosts.values_mut() {
+            link.abort_connect();
+            link.connections().for_each(|conn| conn.shutdown_unread());
+        }
+    }
+
     /// Whether the process must exit, regardless of unfinished work.
     pub fn is_overdue(&self) -> bool {
         let now = self.clock.now();
--- a/src/net/dispatch/timer_event.rs
+++ b/src/net/dispatch/timer_event.rs
@@ -29,6 +29,8 @@
     ReleaseTimeout(Ticket),
     /// The time within which the endpoint list must include the host of an adopted task is over.
     UnknownHostTimeout(Ticket),
+    /// A host is to repeat the ends of tasks that it wrote to the connections of a process that has exited.
+    RepeatedEnds(HostId),
     /// The periodic sweep of all connections is due.
     Sweep,
 }
--- a/src/net/dispatch/timers.rs
+++ b/src/net/dispatch/timers.rs
@@ -28,8 +28,9 @@
         for timer in self.timer_wheel.due(now) {
             self.fire_timer(now, timer);
         }
-        self.check_peers(now);
         self.clients.resend_task_ends(now);
+        self.claim_waiting_ends(now);
+        self.announce_task_ends();
         self.close_quiescent_clients(now);
         let decisions = self.facade.tick(now);
         self.apply_decisions(now, decisions);
@@ -62,6 +63,7 @@
             TimerEvent::ReleaseCheck(ticket) => self.resend_unconfirmed_release(now, ticket),
             TimerEvent::ReleaseTimeout(ticket) => self.end_unconfirmed_release(now, ticket),
             TimerEvent::UnknownHostTimeout(ticket) => self.end_task_at_unknown_host(now, ticket),
+            TimerEvent::RepeatedEnds(host) => self.reconnect_for_repeated_ends(now, &host),
             TimerEvent::Sweep => self.sweep(now),
         }
     }
@@ -92,6 +94,7 @@
     /// retention time is over.
     fn sweep(&mut self, now: Micros) {
         self.clients.sweep(now);
+        self.check_peers(now);
         self.sweep_host_connections(now);
         self.balancer_connections.evict_overdue(now);
         for limiter in &self.operator_connections {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -42,6 +42,11 @@
 use std::time::Duration;
 use tracing::{info, warn};
 
+/// Limit of checks, at process exit, whether the last messages to the placer's other processes have been sent.
+const MAX_FLUSH_CHECKS: u32 = 5;
+/// Interval between two of these checks.
+const FLUSH_CHECK_INTERVAL: Duration = Duration::from_millis(5);
+
 /// Installs the signal handlers. This must happen early during the start: without a handler, a SIGHUP that requests a
 /// reload of the configuration would kill the process.
 ///
@@ -123,7 +128,9 @@
         self.handle_signals(signals, path, new_addresses);
         self.run_until_finished(&acceptor).await;
         self.shared.borrow_mut().fail_pending_requests();
+        self.shared.borrow_mut().stop_reading_hosts();
         accept::shutdown_connections(&self.shared).await;
+        self.announce_last_task_ends().await;
         if let Some(socket) = &self.operator.control_socket {
             let _ = std::fs::remove_file(socket);
         }
@@ -228,6 +235,17 @@
             }
         }
     }
+
+    /// Announces what is left to the placer's other processes, and waits for a bounded time until it has been sent.
+    async fn announce_last_task_ends(&self) {
+        self.shared.borrow_mut().announce_task_ends();
+        for _ in 0..MAX_FLUSH_CHECKS {
+            if self.shared.borrow().peers_are_flushed() {
+                return;
+            }
+            Timer::after(FLUSH_CHECK_INTERVAL).await;
+        }
+    }
 }
 
 /// Reloads the configuration for each request. Only the feed address and the limits are applied; everything else keeps
--- a/src/net/peers/remote_tasks.rs
+++ b/src/net/peers/remote_tasks.rs
@@ -4,8 +4,8 @@
 //! clients name them to this process. The module is deterministic: time is an argument, and there is no I/O.
 
 use super::PeerId;
-use crate::net::codec::TaskId;
-use crate::net::codec::peer::PeerTaskState;
+use crate::net::codec::peer::{EndDelivery, PeerTaskState};
+use crate::net::codec::{TaskEnd, TaskId};
 use std::collections::BTreeMap;
 use task_placer::{HostId, Micros};
 
@@ -26,83 +26,146 @@
 /// A task that another process has announced.
 #[derive(Debug, Clone, PartialEq)]
 pub struct RemoteTask {
-    /// The host that runs the task.
-    pub host: HostId,
     /// The state of the task.
     pub state: PeerTaskState,
     /// The process that is responsible for the task.
     pub responsible: Responsible,
 }
 
+/// The end of a task that waits for a client at another process.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct WaitingEnd {
+    /// The process that is responsible for the end.
+    pub peer: PeerId,
+    /// What the client is to be told.
+    pub end: TaskEnd,
+    /// When this process has claimed the end, if it has.
+    pub claimed_at: Option<Micros>,
+}
+
 /// The tasks that other processes have announced, by id.
 #[derive(Default)]
-pub struct RemoteTasks(BTreeMap<TaskId, RemoteTask>);
+pub struct RemoteTasks {
+    tasks: BTreeMap<TaskId, RemoteTask>,
+    /// The tasks among them whose ends wait for a client.
+    waiting_ends: BTreeMap<TaskId, WaitingEnd>,
+    /// The number of tasks that run at each host and whose process has exited.
+    orphans_by_host: BTreeMap<HostId, usize>,
+}
 
 impl RemoteTasks {
     /// Records that a process is responsible for a task. The latest announcement holds.
-    pub fn announce(&mut self, peer: PeerId, task: TaskId, host: HostId, state: PeerTaskState) {
-        if self.0.len() >= MAX_TASKS && !self.0.contains_key(&task) {
+    pub fn announce(&mut self, peer: PeerId, task: TaskId, state: PeerTaskState) {
+        let before = self.take(task);
+        if self.tasks.len() >= MAX_TASKS && before.is_none() {
             return;
         }
+        if let PeerTaskState::Ended(end, EndDelivery::WaitsForClient) = state {
+            let claimed_at = None;
+            let waiting = WaitingEnd {
+                peer,
+                end,
+                claimed_at,
+            };
+            self.waiting_ends.insert(task, waiting);
+        }
         let responsible = Responsible::Peer(peer);
-        let announced = RemoteTask {
-            host,
-            state,
-            responsible,
-        };
-        self.0.insert(task, announced);
+        self.tasks.insert(task, RemoteTask { state, responsible });
     }
 
     /// Records that a process is no longer responsible for a task.
     pub fn withdraw(&mut self, peer: PeerId, task: TaskId) {
-        if self.is_responsible(peer, task) {
-            self.0.remove(&task);
+        let remote = self.tasks.get(&task);
+        if remote.is_some_and(|remote| remote.responsible == Responsible::Peer(peer)) {
+            self.take(task);
         }
     }
 
     /// Forgets all that a process has announced.
     pub fn withdraw_all(&mut self, peer: PeerId) {
-        self.0
-            .retain(|_, remote| remote.responsible != Responsible::Peer(peer));
+        for task in self.tasks_of(peer) {
+            self.take(task);
+        }
     }
 
     /// Records that a process has exited, and returns the tasks that it was responsible for.
-    pub fn peer_exited(&mut self, now: Micros, peer: PeerId) -> Vec<(TaskId, RemoteTask)> {
-        let mut orphans = Vec::new();
-        for (task, remote) in &mut self.0 {
-            if remote.responsible == Responsible::Peer(peer) {
-                remote.responsible = Responsible::Exited(now);
-                orphans.push((*task, remote.clone()));
+    pub fn peer_exited(&mut self, now: Micros, peer: PeerId) -> Vec<(TaskId, PeerTaskState)> {
+        let orphans = self.tasks_of(peer).into_iter().filter_map(|task| {
+            self.waiting_ends.remove(&task);
+            let remote = self.tasks.get_mut(&task)?;
+            remote.responsible = Responsible::Exited(now);
+            if let Some(host) = remote.state.host() {
+                *self.orphans_by_host.entry(host.clone()).or_insert(0) += 1;
             }
-        }
-        orphans
+            Some((task, remote.state.clone()))
+        });
+        orphans.collect()
+    }
+
+    /// Returns a task.
+    pub fn get(&self, task: TaskId) -> Option<&RemoteTask> {
+        self.tasks.get(&task)
     }
 
     /// Removes a task for which this process is responsible from now on.
     pub fn take(&mut self, task: TaskId) -> Option<RemoteTask> {
-        self.0.remove(&task)
+        let remote = self.tasks.remove(&task)?;
+        self.waiting_ends.remove(&task);
+        if let (Responsible::Exited(_), Some(host)) = (remote.responsible, remote.state.host())
+            && let Some(count) = self.orphans_by_host.get_mut(host)
+        {
+            *count -= 1;
+            if *count == 0 {
+                self.orphans_by_host.remove(host);
+            }
+        }
+        Some(remote)
     }
 
     /// Removes a task if the process that was responsible for it has exited.
     pub fn take_orphan(&mut self, task: TaskId) -> Option<RemoteTask> {
-        let remote = self.0.get(&task)?;
-        match remote.responsible {
-            Responsible::Exited(_) => self.0.remove(&task),
+        match self.tasks.get(&task)?.responsible {
+            Responsible::Exited(_) => self.take(task),
             Responsible::Peer(_) => None,
         }
     }
 
+    /// Whether a task whose process has exited runs at this host.
+    pub fn has_orphans_at(&self, host: &HostId) -> bool {
+        self.orphans_by_host.contains_key(host)
+    }
+
+    /// Returns the ends that wait for a client at other processes.
+    pub fn waiting_ends(&self) -> impl Iterator<Item = (TaskId, WaitingEnd)> + '_ {
+        self.waiting_ends.iter().map(|(task, end)| (*task, *end))
+    }
+
+    /// Records that this process has claimed the end of a task.
+    pub fn end_claimed(&mut self, now: Micros, task: TaskId) {
+        if let Some(waiting) = self.waiting_ends.get_mut(&task) {
+            waiting.claimed_at = Some(now);
+        }
+    }
+
     /// Forgets the tasks whose process exited too long ago.
     pub fn expire(&mut self, now: Micros) {
-        self.0.retain(|_, remote| match remote.responsible {
-            Responsible::Peer(_) => true,
-            Responsible::Exited(at) => now - at < ORPHAN_RETENTION,
-        });
+        let is_old = |remote: &RemoteTask| match remote.responsible {
+            Responsible::Peer(_) => false,
+            Responsible::Exited(at) => now - at >= ORPHAN_RETENTION,
+        };
+        let old = self.tasks.iter().filter(|(_, remote)| is_old(remote));
+        let old: Vec<TaskId> = old.map(|(task, _)| *task).collect();
+        for task in old {
+            self.take(task);
+        }
     }
 
-    fn is_responsible(&self, peer: PeerId, task: TaskId) -> bool {
-        let remote = self.0.get(&task);
-        remote.is_some_and(|remote| remote.responsible == Responsible::Peer(peer))
+    fn tasks_of(&self, peer: PeerId) -> Vec<TaskId> {
+        let tasks = self.tasks.iter();
+        tasks
+            .filter(|(_, remote)| remote.responsible == Responsible::Peer(peer))
+            .map(|(task, _)| *task)
+            .collect()
     }
 }
 
