Keep a client's release while its host cannot be reached

Cause: RELEASE_TIMEOUT ended the request 3 s after the release had arrived, whether it had been sent or not, and whether the host could be reached or not.

Change: a release counts as handled without a confirmation once it has been sent and the host was heard for 3 s after that; otherwise it stays for the next connection, for at most 30 s. Tasks of a silent host still end as lost; releases are kept.

--- a/src/net/dispatch/host_connections.rs
+++ b/src/net/dispatch/host_connections.rs
@@ -300,7 +300,7 @@
         let lost_at =
             (since + UNREACHABLE_TIMEOUT).max(link.last_message_at + HOST_SILENCE_TIMEOUT);
         if now >= lost_at {
-            return self.end_lost_tasks(now, host, Micros::MAX);
+            return self.end_tasks_of_silent_host(now, host);
         }
         if link.tasks_lost_at != Some(lost_at) {
             link.tasks_lost_at = Some(lost_at);
--- a/src/net/dispatch/request.rs
+++ b/src/net/dispatch/request.rs
@@ -43,6 +43,10 @@
         host: HostId,
         /// When this placer was notified that the task had started, or adopted the task.
         since: Micros,
+        /// When the task was released.
+        released_at: Micros,
+        /// When the release was last written to a connection, if there was one.
+        sent_at: Option<Micros>,
         /// The cause in the release sent to the host: the one that the client stated, or `CANCELLED` for a migration.
         cause: Cause,
     },
--- a/src/net/dispatch/running_tasks.rs
+++ b/src/net/dispatch/running_tasks.rs
@@ -14,10 +14,15 @@
 use task_placer::{EndpointState, HostId, Micros, Outcome, OutcomeDetail};
 use tracing::info;
 
-/// How long a host may take to confirm a release before the task counts as ended.
+/// How long a host that is heard may take to confirm a release before the task counts as ended.
 const RELEASE_TIMEOUT: Micros = 3_000 * MILLISECOND;
+/// How long a release is kept for a host that cannot be reached. A host that was cut off from the network comes back with
+/// its tasks running.
+const RELEASE_RETENTION: Micros = 30_000 * MILLISECOND;
 /// How long a host may take to confirm a release before the release is sent again on another connection.
 const RELEASE_RESEND_TIMEOUT: Micros = 1_000 * MILLISECOND;
+/// The interval between two checks whether a host has had the time to confirm a release.
+const RELEASE_RECHECK_INTERVAL: Micros = 500 * MILLISECOND;
 /// How long after the adoption of a task the endpoint list may take to include the task's host.
 const UNKNOWN_HOST_TIMEOUT: Micros = 2_000 * MILLISECOND;
 /// The longest time assumed for the delivery of a response to its client.
@@ -151,12 +156,12 @@
             attempt: *attempt,
             host: host.clone(),
             since: *since,
+            released_at: now,
+            sent_at: None,
             cause,
         };
-        if let Some(conn) = self.hosts.get(&host).and_then(HostLink::current_connection) {
-            conn.send(now, &line);
-        }
         self.set_request_state(ticket, state);
+        self.send_release(now, ticket, &host, &line);
         self.timer_wheel.add(
             now + RELEASE_RESEND_TIMEOUT,
             TimerEvent::ReleaseCheck(ticket),
@@ -166,14 +171,26 @@
         self.request_connection(now, &host);
     }
 
+    /// Writes a release to the connection of a host, if there is one.
+    fn send_release(&mut self, now: Micros, ticket: Ticket, host: &HostId, line: &[u8]) {
+        let conn = self.hosts.get(host).and_then(HostLink::current_connection);
+        if conn.is_some_and(|conn| conn.send(now, line))
+            && let Some(request) = self.requests.get_mut(&ticket)
+            && let RequestState::Releasing { sent_at, .. } = &mut request.state
+        {
+            *sent_at = Some(now);
+        }
+    }
+
     /// Sends the releases that a host has not confirmed on a connection that has just been established. They may have
     /// been lost with the previous connection, or there was no connection to send them on.
-    pub(super) fn send_unconfirmed_releases(&self, now: Micros, host: &HostId) {
-        let Some(conn) = self.hosts.get(host).and_then(HostLink::current_connection) else {
-            return;
-        };
-        for (id, cause) in self.unconfirmed_releases(host) {
-            conn.send(now, &lines::release(id, cause));
+    pub(super) fn send_unconfirmed_releases(&mut self, now: Micros, host: &HostId) {
+        let releases: Vec<(Ticket, Vec<u8>)> = self
+            .unconfirmed_releases(host)
+            .map(|(ticket, id, cause)| (ticket, lines::release(id, cause)))
+            .collect();
+        for (ticket, line) in releases {
+            self.send_release(now, ticket, host, &line);
         }
     }
 
@@ -182,14 +199,18 @@
         self.unconfirmed_releases(host).next().is_some()
     }
 
-    fn unconfirmed_releases(&self, host: &HostId) -> impl Iterator<Item = (TaskId, Cause)> + '_ {
-        self.request_index
-            .running(host)
-            .filter_map(|ticket| self.requests.get(&ticket))
-            .filter_map(|request| match request.state {
-                RequestState::Releasing { cause, .. } => Some((request.id, cause)),
+    fn unconfirmed_releases(
+        &self,
+        host: &HostId,
+    ) -> impl Iterator<Item = (Ticket, TaskId, Cause)> + '_ {
+        let tickets = self.request_index.running(host);
+        tickets.filter_map(|ticket| {
+            let request = self.requests.get(&ticket)?;
+            match request.state {
+                RequestState::Releasing { cause, .. } => Some((ticket, request.id, cause)),
                 _ => None,
-            })
+            }
+        })
     }
 
     /// Requests another connection to a host that has not confirmed a release yet; the release is sent again on it.
@@ -201,6 +222,36 @@
         }
     }
 
+    /// Ends a task whose host has not confirmed its release, if it had the time for that: it was heard for
+    /// `RELEASE_TIMEOUT` after the release was sent. A host that cannot be reached may still run the task, so the release
+    /// is kept for the next connection.
+    pub(super) fn end_unconfirmed_release(&mut self, now: Micros, ticket: Ticket) {
+        let Some(request) = self.requests.get(&ticket) else {
+            return;
+        };
+        let RequestState::Releasing {
+            host,
+            released_at,
+            sent_at,
+            ..
+        } = &request.state
+        else {
+            return;
+        };
+        let conn = self.hosts.get(host).and_then(HostLink::current_connection);
+        let was_heard = |sent_at: Micros| {
+            let elapsed = now - sent_at;
+            let silence = conn.map(|conn| conn.silent_for().as_micros());
+            elapsed >= RELEASE_TIMEOUT
+                && silence.is_some_and(|silence| (silence as Micros) < elapsed)
+        };
+        if now - released_at >= RELEASE_RETENTION || sent_at.is_some_and(was_heard) {
+            return self.end_running_task(now, ticket, Cause::CANCELLED, OutcomeDetail::Unknown);
+        }
+        let timer = TimerEvent::ReleaseTimeout(ticket);
+        self.timer_wheel.add(now + RELEASE_RECHECK_INTERVAL, timer);
+    }
+
     /// Ends an adopted task if its host is still not in the endpoint list, since the task would otherwise be kept
     /// forever.
     pub(super) fn end_task_at_unknown_host(&mut self, now: Micros, ticket: Ticket) {
@@ -280,14 +331,26 @@
 
     /// Ends the tasks that started at a host before the time `before`: they are lost.
     pub(super) fn end_lost_tasks(&mut self, now: Micros, host: &HostId, before: Micros) {
+        self.end_lost(now, host, |state| match state {
+            RequestState::Running { since, .. } | RequestState::Releasing { since, .. } => {
+                *since < before
+            }
+            RequestState::Queued | RequestState::InFlight { .. } => false,
+        });
+    }
+
+    /// Ends the tasks at a host that has been silent for too long: they count as lost. Releases are kept, because the host
+    /// may only be cut off and come back with the tasks running.
+    pub(super) fn end_tasks_of_silent_host(&mut self, now: Micros, host: &HostId) {
+        self.end_lost(now, host, |state| {
+            matches!(state, RequestState::Running { .. })
+        });
+    }
+
+    fn end_lost(&mut self, now: Micros, host: &HostId, is_lost: impl Fn(&RequestState) -> bool) {
         let is_lost = |ticket: &Ticket| {
             let request = self.requests.get(ticket);
-            request.is_some_and(|request| match request.state {
-                RequestState::Running { since, .. } | RequestState::Releasing { since, .. } => {
-                    since < before
-                }
-                RequestState::Queued | RequestState::InFlight { .. } => false,
-            })
+            request.is_some_and(|request| is_lost(&request.state))
         };
         let lost: Vec<Ticket> = self.request_index.running(host).filter(is_lost).collect();
         if !lost.is_empty() {
--- a/src/net/dispatch/timers.rs
+++ b/src/net/dispatch/timers.rs
@@ -1,15 +1,12 @@
 //! Handles ticks: fires due timers of the timer wheel, and sweeps connections at a fixed interval. This module never
 //! decides on a request itself: each timer event is passed to the function that does.
 
-use super::request::RequestState;
 use super::timer_event::{SWEEP_INTERVAL, TimerEvent};
 use super::{Dispatch, MILLISECOND};
-use crate::net::codec::Cause;
 use crate::net::hosts::{ConnectError, ConnectionId, ConnectionState, HostEvents, HostLink};
-use task_placer::facade::Ticket;
 use task_placer::health::Event;
 use task_placer::operation::lifecycle;
-use task_placer::{HostId, Micros, Outcome, OutcomeDetail};
+use task_placer::{HostId, Micros, Outcome};
 
 /// How long an ended task is remembered.
 const ENDED_TASK_RETENTION: Micros = 10_000 * MILLISECOND;
@@ -82,14 +79,6 @@
         }
     }
 
-    /// Ends a task whose host has not confirmed its release within `RELEASE_TIMEOUT`.
-    fn end_unconfirmed_release(&mut self, now: Micros, ticket: Ticket) {
-        let state = self.requests.get(&ticket).map(|request| &request.state);
-        if let Some(RequestState::Releasing { .. }) = state {
-            self.end_running_task(now, ticket, Cause::CANCELLED, OutcomeDetail::Unknown);
-        }
-    }
-
     /// Sweeps all connections, updates the health engine, logs overload control, and forgets ended tasks whose
     /// retention time is over.
     fn sweep(&mut self, now: Micros) {
--- a/tests/endings/host_connections.rs
+++ b/tests/endings/host_connections.rs
@@ -105,3 +105,27 @@
     connection.report_ended(&hex(1), 31, "");
     connection.expect("ack");
 }
+
+// Guards against a task that runs on after a cut of the network, although its client's release was acknowledged: a
+// release was forgotten 3 s after it had arrived, even if the host could not be reached in that time.
+#[test]
+fn release_is_kept_while_its_host_is_cut_off() {
+    let (program, _feed, hosts, mut connections) = start_with_hosts(1);
+    let mut client = checked_client(&program);
+    run_task(&mut client, &mut connections[0], 1);
+    let cut_off = hosts[0].make_unreachable();
+
+    client.release(1, 31);
+    assert_eq!(client.expect_message().kind, 16);
+    // The silent connection is given up, and connects fail for longer than a host may take to confirm a release.
+    program.wait_for_log("reason=silent");
+    std::thread::sleep(Duration::from_secs(3));
+    hosts[0].make_reachable(cut_off);
+
+    let mut connection = hosts[0].accept();
+    let release = connection.expect("down");
+    assert_eq!(release.get_str("ref"), Some(hex(1).as_str()));
+    // A host that is heard and does not confirm the release does not know the task.
+    assert!(connection.read_within(Duration::from_secs(5)).is_none());
+    program.wait_for_log("task ended task=0000000000000001");
+}
