Discard unacknowledged ends of tasks although new clients go on connecting

Each new client is told all ends that nobody acknowledged.

Cause: forget_old counted 10 s from the last send, and each new client connection got every waiting end, which renewed the time and added the connection to the set of those tried.

Change: the 10 s count from the first send.

--- a/src/net/clients/pending_task_ends.rs
+++ b/src/net/clients/pending_task_ends.rs
@@ -14,7 +14,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 use task_placer::Micros;
 
-/// Time after the last send for which an unacknowledged task end is kept.
+/// Time after the first send for which an unacknowledged task end is kept. It does not start anew with each client that
+/// connects; otherwise the ends of clients that acknowledge nothing would never be discarded.
 const MAX_UNACKNOWLEDGED: Micros = 10_000_000;
 /// Time after a send during which a task end may still be in transit to its client.
 const DELIVERY_TIME: Micros = 1_000_000;
@@ -34,6 +35,8 @@
     last_round: Vec<ClientId>,
     /// Number of rounds so far; each round sends the message on one or more connections.
     rounds: u32,
+    /// When the message was first sent, if it was sent at all.
+    first_sent_at: Option<Micros>,
     /// When the message was last sent, if it was sent at all.
     sent_at: Option<Micros>,
     /// Whether the message has been sent on every usable connection, so that it waits for a new client.
@@ -49,6 +52,7 @@
             tried: BTreeSet::new(),
             last_round: Vec::new(),
             rounds: 0,
+            first_sent_at: None,
             sent_at: None,
             waits_for_client: false,
             announced: None,
@@ -195,6 +199,7 @@
             self.totals.sent += 1;
         }
         end.rounds += 1;
+        end.first_sent_at.get_or_insert(now);
         end.sent_at = Some(now);
         end.tried.extend(&connections);
         end.last_round = connections;
@@ -254,7 +259,8 @@
     /// Discards task ends that were sent and not acknowledged within the maximum time.
     pub(super) fn forget_old(&mut self, now: Micros) {
         let is_old = |end: &PendingTaskEnd| {
-            end.sent_at.is_some() && !end.sent_within(now, MAX_UNACKNOWLEDGED)
+            end.first_sent_at
+                .is_some_and(|at| now - at >= MAX_UNACKNOWLEDGED)
         };
         let old = self.ends.iter().filter(|(_, end)| is_old(end));
         self.finished.extend(old.map(|(task, _)| *task));
--- a/tests/memory/connections.rs
+++ b/tests/memory/connections.rs
@@ -74,3 +74,38 @@
     assert_eq!(ended, floods.len(), "connections that were closed");
     assert!(peak_kb < MEMORY_MB * 1_024, "{peak_kb} kB");
 }
+
+// Guards against memory that grows with the square of the time: each client that connects was sent the ends that nobody
+// had acknowledged, which kept them for another 10 s, with the connections that they were sent on.
+#[test]
+fn ends_that_nobody_acknowledges_are_discarded_although_clients_go_on_connecting() {
+    const RETENTION: Duration = Duration::from_secs(10);
+    let (program, _feed, _hosts, mut connections) = start_with_hosts(1);
+    let mut client = program.client();
+    client.request_task(1, &IDEMPOTENT_TASK);
+    let id = connections[0].expect_offer();
+    connections[0].report_running(&id);
+    assert_eq!(client.expect_message().kind, 9);
+    connections[0].report_ended(&id, 16, "");
+    assert_eq!(client.expect_message().kind, 12);
+    let sent_at = Instant::now();
+
+    let mut sent_again = 0;
+    let last = loop {
+        let mut next = program.client();
+        next.acknowledge_end(0xffff);
+        let is_told = next
+            .message_within(Duration::from_millis(500))
+            .is_ok_and(|message| message.is_some_and(|message| message.id == 1));
+        if !is_told {
+            break sent_at.elapsed();
+        }
+        sent_again += 1;
+        assert!(sent_at.elapsed() < 2 * RETENTION, "sent {sent_again} times");
+        std::thread::sleep(Duration::from_millis(200));
+    };
+    assert!(
+        sent_again > 1 && last < RETENTION + Duration::from_secs(2),
+        "{last:?}"
+    );
+}
