Keep a task named at an unlisted host until the endpoint list is up to date

Cause: end_task_at_unknown_host did not ask whether the list could know the host. Its message was also written only once.

Change: the task is kept until the feed has been available for 2 s and was heard in the latter half of the time since the adoption; the end is kept until it is acknowledged.

--- a/crates/emulator/src/feed.rs
+++ b/crates/emulator/src/feed.rs
@@ -72,6 +72,15 @@
         Unreachable::of(&self.listener)
     }
 
+    /// Makes the feed reachable again, and closes the connections that filled its accept queue.
+    ///
+    /// # Panics
+    ///
+    /// If the length of the accept queue cannot be restored.
+    pub fn make_reachable(&self, unreachable: Unreachable) {
+        unreachable.end(&self.listener);
+    }
+
     /// Returns the connection of the subscription, which ends when the returned value is dropped.
     pub fn take_subscription(&mut self) -> Option<TcpStream> {
         self.subscription.take()
--- a/crates/emulator/src/host.rs
+++ b/crates/emulator/src/host.rs
@@ -107,6 +107,14 @@
                 .collect(),
         )
     }
+
+    /// Restores the accept queue of the listener, and closes the connections that filled it.
+    pub(crate) fn end(self, listener: &TcpListener) {
+        rustix::net::listen(listener, 128).expect("cannot change the length of the accept queue");
+        self.0
+            .iter()
+            .for_each(|_| drop(accept(listener, TEST_TIMEOUT)));
+    }
 }
 
 impl Host {
@@ -121,12 +129,7 @@
     ///
     /// If the length of the accept queue cannot be restored.
     pub fn make_reachable(&self, unreachable: Unreachable) {
-        rustix::net::listen(&self.listener, 128)
-            .expect("cannot change the length of the accept queue");
-        unreachable
-            .0
-            .iter()
-            .for_each(|_| drop(accept(&self.listener, TEST_TIMEOUT)));
+        unreachable.end(&self.listener);
     }
 }
 
--- a/src/net/dispatch.rs
+++ b/src/net/dispatch.rs
@@ -147,6 +147,10 @@
     /// The feed messages stored in the configuration, until [`Dispatch::start`] consumes them.
     cached_updates: Vec<FeedMessage>,
     is_discovery_up: bool,
+    /// When the feed last became available, or became so for the first time.
+    discovery_up_since: Micros,
+    /// When the last message of the feed arrived.
+    discovery_heard_at: Micros,
     /// When the shutdown began, if it has begun.
     shutdown_since: Option<Micros>,
     /// The health engine, if the operator's file enables it.
@@ -226,6 +230,8 @@
             next_ticket: 0,
             cached_updates: config.cached_updates,
             is_discovery_up: false,
+            discovery_up_since: 0,
+            discovery_heard_at: 0,
             shutdown_since: None,
             health_reporter: operator
                 .uses_health_monitor()
--- a/src/net/dispatch/discovery.rs
+++ b/src/net/dispatch/discovery.rs
@@ -27,13 +27,16 @@
     }
 
     fn endpoints_changed(&mut self, update: EndpointUpdate) {
+        self.discovery_heard_at = self.clock.now();
         self.handle_endpoint_update(update);
     }
 
     fn feed_alive(&mut self) {
         let now = self.clock.now();
         self.record_health_event(now, Event::DiscoveryUpdated);
+        self.discovery_heard_at = now;
         if !std::mem::replace(&mut self.is_discovery_up, true) {
+            self.discovery_up_since = now;
             self.report_event(now, PlacementEvent::DiscoveryUp);
         }
     }
--- a/src/net/dispatch/running_tasks.rs
+++ b/src/net/dispatch/running_tasks.rs
@@ -25,6 +25,8 @@
 const RELEASE_RECHECK_INTERVAL: Micros = 500 * MILLISECOND;
 /// How long after the adoption of a task the endpoint list may take to include the task's host.
 const UNKNOWN_HOST_TIMEOUT: Micros = 2_000 * MILLISECOND;
+/// The interval between two checks whether the endpoint list is up to date.
+const UNKNOWN_HOST_RECHECK_INTERVAL: Micros = 250 * MILLISECOND;
 /// The longest time assumed for the delivery of a response to its client.
 const RESPONSE_DELIVERY_TIME: Micros = 2_000 * MILLISECOND;
 
@@ -253,7 +255,7 @@
     }
 
     /// Ends an adopted task if its host is still not in the endpoint list, since the task would otherwise be kept
-    /// forever.
+    /// forever. While the feed is not heard, the host may be new, so the task is kept until the list is up to date.
     pub(super) fn end_task_at_unknown_host(&mut self, now: Micros, ticket: Ticket) {
         let Some(request) = self.requests.get(&ticket) else {
             return;
@@ -269,11 +271,19 @@
         if self.hosts.contains_key(host) {
             return;
         }
+        if !self.list_is_up_to_date(now, *since) {
+            let timer = TimerEvent::UnknownHostTimeout(ticket);
+            return self
+                .timer_wheel
+                .add(now + UNKNOWN_HOST_RECHECK_INTERVAL, timer);
+        }
+        let (id, client) = (request.id, request.client);
         let (attempt, host, elapsed) = (*attempt, host.clone(), now - since);
-        info!(task = %request.id, reason = "unknown-host", host = &*host.0, "task not running");
-        if let Some(client) = request.client {
-            let message = binary::release(request.id, Cause::RESET, None);
-            self.clients.send(now, client, &message);
+        info!(task = %id, reason = "unknown-host", host = &*host.0, "task not running");
+        if let Some(client) = client {
+            let end = TaskEnd::Released(Cause::RESET);
+            self.clients
+                .send_task_end_after_response(now, client, id, end);
         }
         self.remove_request(ticket);
         let event = PlacementEvent::AttemptEnded {
@@ -287,6 +297,14 @@
         self.report_event(now, event);
     }
 
+    /// Whether the endpoint list would include a host that was new when a task was adopted at `adopted_at`: the feed has
+    /// been available for `UNKNOWN_HOST_TIMEOUT`, and was heard in the latter half of the time since the adoption.
+    fn list_is_up_to_date(&self, now: Micros, adopted_at: Micros) -> bool {
+        let is_stable = now - self.discovery_up_since >= UNKNOWN_HOST_TIMEOUT;
+        let heard_since = adopted_at + UNKNOWN_HOST_TIMEOUT / 2;
+        self.is_discovery_up && is_stable && self.discovery_heard_at >= heard_since
+    }
+
     /// Ends a task that runs or is being released. The client is notified, unless the task was being released already:
     /// by the client, or in a migration that it was notified of.
     pub(super) fn end_running_task(
--- a/tests/endings/feed.rs
+++ b/tests/endings/feed.rs
@@ -112,3 +112,43 @@
     assert_eq!(client.expect_message().kind, 9);
     assert!(connection.read_within(Duration::from_millis(20)).is_none());
 }
+
+// Guards against a running task that is reported as over, because its client names it at a host that was listed while the
+// feed could not be heard. A host that the list does not have once the feed is back is not there.
+#[test]
+fn task_at_a_host_that_is_new_during_an_outage_of_the_feed_is_kept_until_the_list_is_up_to_date() {
+    let (program, mut feed, _hosts, _connections) = start_with_hosts(1);
+    let new_host = Host::new("h1", "north");
+    let unreachable = feed.make_unreachable();
+    drop(feed.take_subscription());
+    program.wait_for_log("connection ended peer=\"feed\"");
+    let mut client = checked_client(&program);
+    for (id, host) in [(1, "h1"), (2, "h9")] {
+        client.request_task(
+            id,
+            &TaskRequest {
+                running_at: Some(host),
+                ..request(id)
+            },
+        );
+    }
+
+    // Longer than the host of a task may be missing from the list while the feed is heard.
+    assert!(client.message_within(Duration::from_secs(3)).is_err());
+    feed.make_reachable(unreachable);
+    assert_eq!(feed.accept_subscription(), 1);
+    feed.send_host_state(2, &new_host, "up");
+    let mut connection = new_host.accept();
+    let end = loop {
+        feed.send(&json!({ "n": 2 }));
+        if let Ok(message) = client.message_within(Duration::from_millis(500)) {
+            break message.expect("the connection stays open");
+        }
+    };
+    assert_eq!((end.kind, end.id, end.cause()), (12, 2, 41));
+    client.acknowledge_end(2);
+
+    connection.report_ended(&hex(1), 16, "");
+    let end = client.expect_message();
+    assert_eq!((end.kind, end.id, end.cause()), (12, 1, 16));
+}
