Health: report a change of the weight only if load balancers can see it

Cause: WeightController::update compared the unrounded weights. A fall after an unpublished rise can end within half a unit of the published weight. Evidence: 10.0 risen to 14.9 and fallen to 9.7 is reported as a change, both 10.

Change: the rounded weights are compared.

--- a/src/health/weight.rs
+++ b/src/health/weight.rs
@@ -143,7 +143,8 @@
         }
     }
 
-    /// Moves the weight towards the target, and returns whether the published weight has changed.
+    /// Moves the weight towards the target, and returns whether the published weight has changed, as load balancers read
+    /// it: in whole units.
     ///
     /// `cause` is the signal that limits the target most. A ceiling is learned only from signals of overload, not from
     /// the slow start or a lack of service discovery, since neither of these shows that the weight was too high.
@@ -159,13 +160,13 @@
         let elapsed = (now - self.last_update).clamp(0, SECOND);
         self.last_update = self.last_update.max(now);
         self.forget_old_overload(now);
-        let before = self.published;
+        let before = self.published();
         if target < self.exact - DEAD_BAND {
             self.lower(now, target, cause, reaction_time);
         } else if target > self.exact {
             self.raise(now, target, elapsed, reaction_time);
         }
-        let has_changed = self.published != before;
+        let has_changed = self.published() != before;
         if has_changed {
             self.changes.push_back(now);
         }
--- a/src/health/weight/tests.rs
+++ b/src/health/weight/tests.rs
@@ -99,3 +99,20 @@
 
     assert!(published.iter().all(|weight| *weight == 80));
 }
+
+// Guards against a change that load balancers cannot see: a fall after a rise that was not published yet was reported
+// as a change of the weight from 10 to 10.
+#[test]
+fn fall_to_the_published_weight_is_no_change() {
+    let mut weight = controller(10.0);
+    run(&mut weight, 0, 2, 14.9, Signal::RequestAge);
+    assert_eq!(
+        weight.published(),
+        10,
+        "the rise is too small to be published"
+    );
+
+    let has_changed = weight.update(3 * UPDATE_INTERVAL, 9.7, Some(Signal::RequestAge), 0);
+
+    assert_eq!((has_changed, weight.published()), (false, 10));
+}
