Pass on releases of announced tasks in any flood, and of tasks named elsewhere

Callers would have seen: during an upgrade, a release is acknowledged and lost if another client floods the placer with more than 4,096 releases of unknown tasks, or if the task was named to the other process before and the release reaches the one that had started it.

Change: the limit of kept releases holds for tasks that no process has announced; the number of announced ones is bounded itself. A task that another process has announced is never taken as over. A client that names a task which the other process is releasing is told that it is over.

--- a/src/net/dispatch/peer_processes.rs
+++ b/src/net/dispatch/peer_processes.rs
@@ -200,7 +200,11 @@
             self.release_in_place_of_peer(now, task, &remote.state, cause);
             return ForwardResult::Handled;
         }
-        if !self.shares_listener || self.ended_tasks.contains_key(&task) {
+        let is_announced = self.remote_tasks.get(task).is_some();
+        let may_run = is_announced
+            || (!self.ended_tasks.contains_key(&task)
+                && self.forwarded_releases.has_room_for_unannounced());
+        if !self.shares_listener || !may_run {
             return ForwardResult::Unknown;
         }
         let awaited: BTreeSet<PeerId> = self
@@ -228,7 +232,8 @@
         if let Some(ticket) = ticket {
             self.release_running_task(now, ticket, cause);
         }
-        let is_known = ticket.is_some() || self.ended_tasks.contains_key(&task);
+        let is_over = self.ended_tasks.contains_key(&task) && self.remote_tasks.get(task).is_none();
+        let is_known = ticket.is_some() || is_over;
         let is_known = is_known
             || match self.forward_release(now, task, cause, ReleaseSender::Peer(peer)) {
                 ForwardResult::Forwarded => return,
--- a/src/net/dispatch/peer_task_ends.rs
+++ b/src/net/dispatch/peer_task_ends.rs
@@ -264,6 +264,10 @@
     /// Prepares the adoption of a task that a client has named: the process that was responsible for it no longer is.
     /// Returns the end of the task, if it is over and its client was still to be told.
     pub(super) fn take_over_adopted(&mut self, task: TaskId) -> Option<TaskEnd> {
+        if let PeerTaskState::Releasing(_, cause) = self.remote_tasks.get(task)?.state {
+            // A client has released the task, and the responsible process is about to end it.
+            return Some(TaskEnd::Released(cause));
+        }
         let remote = self.remote_tasks.take(task)?;
         if let Responsible::Peer(peer) = remote.responsible {
             self.send_to_peer(peer, &PeerMessage::Adopted(task));
--- a/src/net/peers/forwarded_releases.rs
+++ b/src/net/peers/forwarded_releases.rs
@@ -12,7 +12,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 use task_placer::Micros;
 
-/// The maximum number of releases that are kept. Further ones are not passed on, which bounds the memory.
+/// The maximum number of releases that are kept. Further ones are passed on only if another process has announced the
+/// task, which bounds the memory, since the number of these tasks is bounded.
 const MAX_RELEASES: usize = 4_096;
 /// The maximum number of senders of one release.
 const MAX_SENDERS: usize = 16;
@@ -59,8 +60,13 @@
 pub struct ForwardedReleases(BTreeMap<TaskId, ForwardedRelease>);
 
 impl ForwardedReleases {
-    /// Adds a release, and returns whether there is room for it. Replies are awaited from the processes `awaited`, if
-    /// there is a sender who waits for the result.
+    /// Whether there is room for the release of a task that no process has announced.
+    pub fn has_room_for_unannounced(&self) -> bool {
+        self.0.len() < MAX_RELEASES
+    }
+
+    /// Adds a release, and returns whether its sender is to get the reply later. Replies are awaited from the processes
+    /// `awaited`, if there is a sender who waits for the result.
     pub fn insert(
         &mut self,
         now: Micros,
@@ -69,9 +75,6 @@
         sender: Option<ReleaseSender>,
         awaited: BTreeSet<PeerId>,
     ) -> bool {
-        if self.0.len() >= MAX_RELEASES && !self.0.contains_key(&task) {
-            return false;
-        }
         let release = self.0.entry(task).or_insert(ForwardedRelease {
             cause,
             since: now,
--- a/src/net/peers/forwarded_releases/tests.rs
+++ b/src/net/peers/forwarded_releases/tests.rs
@@ -78,14 +78,25 @@
 }
 
 #[test]
-fn number_of_releases_is_bounded() {
+fn there_is_room_for_a_bounded_number_of_unannounced_tasks() {
     let mut releases = ForwardedReleases::default();
-    let mut insert =
-        |id| releases.insert(0, TaskId(id), CAUSE, Some(SENDER), BTreeSet::from([OLD]));
     for id in 0..MAX_RELEASES as u64 {
-        assert!(insert(id));
+        assert!(releases.has_room_for_unannounced());
+        let awaited = BTreeSet::from([OLD]);
+        assert!(releases.insert(0, TaskId(id), CAUSE, Some(SENDER), awaited));
     }
 
-    assert!(!insert(MAX_RELEASES as u64));
-    assert!(insert(0), "a release that is kept gets further senders");
+    assert!(!releases.has_room_for_unannounced());
+}
+
+#[test]
+fn number_of_senders_of_a_release_is_bounded() {
+    let mut releases = ForwardedReleases::default();
+    let mut insert = |peer| {
+        let sender = ReleaseSender::Peer(PeerId(peer));
+        releases.insert(0, TASK, CAUSE, Some(sender), BTreeSet::from([OLD]))
+    };
+    assert!((0..MAX_SENDERS as u64).all(&mut insert));
+
+    assert!(!insert(MAX_SENDERS as u64));
 }
--- a/tests/upgrades/releases.rs
+++ b/tests/upgrades/releases.rs
@@ -5,6 +5,7 @@
 //! acknowledged the release and dropped it, so the task ran on, and a client that asked for it anew had it run twice.
 
 use super::*;
+use std::collections::BTreeSet;
 use std::os::unix::net::UnixListener;
 
 /// Time within which a release must be acknowledged, even if another process does not reply.
@@ -154,6 +155,50 @@
     }
 }
 
+// Guards against a release that is lost after a client has named its task to the other process: the process that had
+// started the task remembered it as over.
+#[test]
+fn task_that_was_named_to_the_new_process_is_released_through_the_old_one() {
+    let mut upgrade = start_upgrade();
+    let mut of_old = client_of(&upgrade.old, &upgrade.new);
+    run_task(&mut of_old, &mut upgrade.old_connection, 1);
+    let mut of_new = client_of(&upgrade.new, &upgrade.old);
+    of_new.request_task(
+        1,
+        &TaskRequest {
+            running_at: Some("h0"),
+            ..request(1)
+        },
+    );
+    upgrade.old.wait_for_log("task adopted by another process");
+
+    of_old.release(1, 31);
+
+    expect_release(&mut upgrade.new_connection, 1);
+    expect_acknowledgement(&mut of_old, 1);
+}
+
+// Guards against releases that are lost because a client floods the placer with releases of tasks that nobody knows.
+#[test]
+fn task_is_released_beside_thousands_of_releases_of_unknown_tasks() {
+    let mut upgrade = start_upgrade();
+    let mut of_old = client_of(&upgrade.old, &upgrade.new);
+    run_task(&mut of_old, &mut upgrade.old_connection, 1);
+    let mut flooding = client_of(&upgrade.new, &upgrade.old);
+    let releases: BTreeSet<u64> = (10_000..20_000).collect();
+    releases.iter().for_each(|id| flooding.release(*id, 31));
+    // Those that are passed on are acknowledged after the others.
+    let acknowledged = releases.iter().map(|_| flooding.expect_message());
+    let acknowledged: BTreeSet<u64> = acknowledged.map(|message| message.id).collect();
+    assert_eq!(acknowledged, releases);
+
+    let mut of_new = client_of(&upgrade.new, &upgrade.old);
+    of_new.release(1, 31);
+
+    expect_release(&mut upgrade.old_connection, 1);
+    expect_acknowledgement(&mut of_new, 1);
+}
+
 #[test]
 fn release_of_a_task_that_no_process_knows_is_acknowledged() {
     let upgrade = start_upgrade();
