Tell the ends of tasks through upgrades in series and any process's connections

Causes, each seen in the logs of the processes: a process did not announce the tasks that it kept for one that had exited, so they were lost with the second upgrade; an end that a host repeated to a new process before that knew of the other's tasks was passed on to nobody; one that was passed on to a process just exiting was lost; and a dead connection at which only tasks of the other process ran was never checked.

Change: kept tasks are announced; a host's release that is remembered is passed on when its task is announced, and told when its process exits; connections are checked and made again where tasks of any process of the placer run. A new log line tells of a release that concerns no task here.

--- a/src/net/dispatch/host_connections.rs
+++ b/src/net/dispatch/host_connections.rs
@@ -341,7 +341,7 @@
     /// This recovers ends of tasks that were in transit on a connection when it broke: the host repeats them on the
     /// next connection that opens, whichever of its connections they were lost on.
     pub(super) fn request_repeated_ends(&mut self, now: Micros, host: &HostId) {
-        if !self.awaits_task_ends(host) {
+        if !self.may_read_task_ends(host) {
             return;
         }
         let Some(link) = self.hosts.get_mut(host) else {
@@ -395,7 +395,7 @@
     /// attempt in flight nothing else would reveal that. The check message of the protocol only tests the connection
     /// and requests nothing of the host.
     fn check_silent_connections(&self, now: Micros) {
-        for host in self.request_index.hosts_with_running_tasks() {
+        for host in self.hosts_of_task_ends() {
             let Some(link) = self.hosts.get(host) else {
                 continue;
             };
@@ -426,8 +426,7 @@
         }
         self.check_silent_connections(now);
         let mut to_connect: Vec<HostId> = self
-            .request_index
-            .hosts_with_running_tasks()
+            .hosts_awaiting_task_ends()
             .filter(|host| {
                 self.disconnected_link(host)
                     .is_some_and(|link| now - link.last_closed_at >= MAX_TIME_DISCONNECTED)
--- a/src/net/dispatch/peer_processes.rs
+++ b/src/net/dispatch/peer_processes.rs
@@ -148,12 +148,16 @@
         }
     }
 
-    /// Sends a process all tasks that this process is responsible for, and the releases that may concern it.
+    /// Sends a process all tasks that this process is responsible for or keeps for a process that has exited, and the
+    /// releases that may concern it.
     fn send_all_to_peer(&mut self, peer: PeerId) {
         let requests = self.requests.values();
         for message in requests.filter_map(task_message) {
             self.send_to_peer(peer, &message);
         }
+        for (task, state) in self.remote_tasks.orphans() {
+            self.send_to_peer(peer, &PeerMessage::Task(task, state.clone()));
+        }
         self.send_task_ends_to_peer(peer);
         for (task, cause) in self.forwarded_releases.for_peer(peer) {
             self.send_to_peer(peer, &PeerMessage::Release(task, cause));
@@ -327,7 +331,9 @@
         }
         let settled = self.forwarded_releases.expire(now);
         self.settle_releases(now, settled);
-        self.remote_tasks.expire(now);
+        for task in self.remote_tasks.expire(now) {
+            self.announce(&PeerMessage::Done(task));
+        }
     }
 }
 
--- a/src/net/dispatch/peer_task_ends.rs
+++ b/src/net/dispatch/peer_task_ends.rs
@@ -81,9 +81,22 @@
             self.end_running_task(self.clock.now(), ticket, cause, OutcomeDetail::Unknown);
             return self.send_to_peer(peer, &PeerMessage::Adopted(task));
         }
+        // The host may have released the task here before this process knew of the other one.
+        if state
+            .host()
+            .is_some_and(|host| self.cause_of_release(host, task).is_some())
+        {
+            self.send_known_release(peer, task);
+        }
         self.remote_tasks.announce(peer, task, state);
     }
 
+    /// Returns the cause with which this host has released a task here, if it has while the task was not in the table.
+    fn cause_of_release(&self, host: &HostId, task: TaskId) -> Option<Cause> {
+        let release = self.ended_tasks.get(&task)?.released_by.as_ref()?;
+        (release.host == *host).then_some(release.cause)
+    }
+
     /// Returns the ticket of a task that runs or is being released, and for which this process is responsible.
     fn started_task(&self, task: TaskId) -> Option<Ticket> {
         let ticket = self.tickets_by_task.get(&task).copied()?;
@@ -167,9 +180,16 @@
                 _ if self.tickets_by_task.contains_key(&task) => {
                     self.remote_tasks.take(task);
                 }
-                PeerTaskState::Running(host) => {
-                    hosts.insert(host);
-                }
+                PeerTaskState::Running(host) => match self.cause_of_release(&host, task) {
+                    // The release was passed on, but the process has exited before it could handle it.
+                    Some(cause) => self.take_over_end(now, task, TaskEnd::Released(cause)),
+                    None => {
+                        // Another process keeps the task too, in case this one exits next.
+                        let state = PeerTaskState::Running(host.clone());
+                        self.announce(&PeerMessage::Task(task, state));
+                        hosts.insert(host);
+                    }
+                },
                 PeerTaskState::Releasing(host, cause) => {
                     self.remote_tasks.take(task);
                     self.continue_release(now, task, host, cause);
@@ -213,6 +233,8 @@
             self.clients
                 .send_task_end(now, task, TaskEnd::Released(*cause));
         } else if is_remote || !self.ended_tasks.contains_key(&task) {
+            let HostRelease { host, cause } = &release;
+            info!(task = %task, host = &*host.0, cause = cause.0, is_remote, "release of a task that does not run here");
             self.pass_on_host_release(task, &release, detail, from);
         }
         let ended = EndedTask {
@@ -325,4 +347,21 @@
     pub(super) fn awaits_task_ends(&self, host: &HostId) -> bool {
         self.request_index.has_running_tasks(host) || self.remote_tasks.has_orphans_at(host)
     }
+    /// Returns the hosts from which ends of tasks are awaited. A host may be returned twice.
+    pub(super) fn hosts_awaiting_task_ends(&self) -> impl Iterator<Item = &HostId> {
+        let running = self.request_index.hosts_with_running_tasks();
+        running.chain(self.remote_tasks.hosts_with_orphans())
+    }
+
+    /// Whether a host may send the end of a task on a connection of this process. It may do so also for a task of another
+    /// process, if the connection of that task has ended.
+    pub(super) fn may_read_task_ends(&self, host: &HostId) -> bool {
+        self.request_index.has_running_tasks(host) || self.remote_tasks.has_tasks_at(host)
+    }
+
+    /// Returns the hosts that may send the end of a task. A host may be returned twice.
+    pub(super) fn hosts_of_task_ends(&self) -> impl Iterator<Item = &HostId> {
+        let running = self.request_index.hosts_with_running_tasks();
+        running.chain(self.remote_tasks.hosts_with_tasks())
+    }
 }
--- a/src/net/peers/remote_tasks.rs
+++ b/src/net/peers/remote_tasks.rs
@@ -43,14 +43,22 @@
     pub claimed_at: Option<Micros>,
 }
 
+/// The numbers of tasks that run at one host.
+#[derive(Debug, Default)]
+struct HostCounts {
+    tasks: usize,
+    /// Those among them whose process has exited.
+    orphans: usize,
+}
+
 /// The tasks that other processes have announced, by id.
 #[derive(Default)]
 pub struct RemoteTasks {
     tasks: BTreeMap<TaskId, RemoteTask>,
     /// The tasks among them whose ends wait for a client.
     waiting_ends: BTreeMap<TaskId, WaitingEnd>,
-    /// The number of tasks that run at each host and whose process has exited.
-    orphans_by_host: BTreeMap<HostId, usize>,
+    /// The number of tasks that run at each host.
+    counts_by_host: BTreeMap<HostId, HostCounts>,
 }
 
 impl RemoteTasks {
@@ -69,6 +77,9 @@
             };
             self.waiting_ends.insert(task, waiting);
         }
+        if let Some(host) = state.host() {
+            self.counts_by_host.entry(host.clone()).or_default().tasks += 1;
+        }
         let responsible = Responsible::Peer(peer);
         self.tasks.insert(task, RemoteTask { state, responsible });
     }
@@ -94,8 +105,9 @@
             self.waiting_ends.remove(&task);
             let remote = self.tasks.get_mut(&task)?;
             remote.responsible = Responsible::Exited(now);
-            if let Some(host) = remote.state.host() {
-                *self.orphans_by_host.entry(host.clone()).or_insert(0) += 1;
+            let host = remote.state.host();
+            if let Some(counts) = host.and_then(|host| self.counts_by_host.get_mut(host)) {
+                counts.orphans += 1;
             }
             Some((task, remote.state.clone()))
         });
@@ -111,12 +123,13 @@
     pub fn take(&mut self, task: TaskId) -> Option<RemoteTask> {
         let remote = self.tasks.remove(&task)?;
         self.waiting_ends.remove(&task);
-        if let (Responsible::Exited(_), Some(host)) = (remote.responsible, remote.state.host())
-            && let Some(count) = self.orphans_by_host.get_mut(host)
+        if let Some(host) = remote.state.host()
+            && let Some(counts) = self.counts_by_host.get_mut(host)
         {
-            *count -= 1;
-            if *count == 0 {
-                self.orphans_by_host.remove(host);
+            counts.tasks -= 1;
+            counts.orphans -= usize::from(matches!(remote.responsible, Responsible::Exited(_)));
+            if counts.tasks == 0 {
+                self.counts_by_host.remove(host);
             }
         }
         Some(remote)
@@ -132,7 +145,25 @@
 
     /// Whether a task whose process has exited runs at this host.
     pub fn has_orphans_at(&self, host: &HostId) -> bool {
-        self.orphans_by_host.contains_key(host)
+        let counts = self.counts_by_host.get(host);
+        counts.is_some_and(|counts| counts.orphans > 0)
+    }
+
+    /// Whether a task of another process runs at this host.
+    pub fn has_tasks_at(&self, host: &HostId) -> bool {
+        self.counts_by_host.contains_key(host)
+    }
+
+    /// Returns the hosts at which tasks run whose process has exited.
+    pub fn hosts_with_orphans(&self) -> impl Iterator<Item = &HostId> {
+        let counts = self.counts_by_host.iter();
+        let with_orphans = counts.filter(|(_, counts)| counts.orphans > 0);
+        with_orphans.map(|(host, _)| host)
+    }
+
+    /// Returns the hosts at which tasks of other processes run.
+    pub fn hosts_with_tasks(&self) -> impl Iterator<Item = &HostId> {
+        self.counts_by_host.keys()
     }
 
     /// Returns the ends that wait for a client at other processes.
@@ -147,17 +178,28 @@
         }
     }
 
-    /// Forgets the tasks whose process exited too long ago.
-    pub fn expire(&mut self, now: Micros) {
+    /// Returns the running tasks whose process has exited.
+    pub fn orphans(&self) -> impl Iterator<Item = (TaskId, &PeerTaskState)> {
+        let is_orphan = |remote: &RemoteTask| matches!(remote.responsible, Responsible::Exited(_));
+        let orphans = self
+            .tasks
+            .iter()
+            .filter(move |(_, remote)| is_orphan(remote));
+        orphans.map(|(task, remote)| (*task, &remote.state))
+    }
+
+    /// Forgets the tasks whose process exited too long ago, and returns them.
+    pub fn expire(&mut self, now: Micros) -> Vec<TaskId> {
         let is_old = |remote: &RemoteTask| match remote.responsible {
             Responsible::Peer(_) => false,
             Responsible::Exited(at) => now - at >= ORPHAN_RETENTION,
         };
         let old = self.tasks.iter().filter(|(_, remote)| is_old(remote));
         let old: Vec<TaskId> = old.map(|(task, _)| *task).collect();
-        for task in old {
-            self.take(task);
+        for task in &old {
+            self.take(*task);
         }
+        old
     }
 
     fn tasks_of(&self, peer: PeerId) -> Vec<TaskId> {
--- a/src/net/peers/remote_tasks/tests.rs
+++ b/src/net/peers/remote_tasks/tests.rs
@@ -58,9 +58,11 @@
     tasks.withdraw_all(OLD);
     assert!(tasks.has_orphans_at(&host()));
 
-    tasks.expire(100 + ORPHAN_RETENTION - 1);
+    assert!(tasks.orphans().eq([(TASK, &running())]));
+
+    assert_eq!(tasks.expire(100 + ORPHAN_RETENTION - 1), []);
     assert!(tasks.get(TASK).is_some());
-    tasks.expire(100 + ORPHAN_RETENTION);
+    assert_eq!(tasks.expire(100 + ORPHAN_RETENTION), [TASK]);
     assert!(tasks.take_orphan(TASK).is_none());
     assert!(!tasks.has_orphans_at(&host()));
 }
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -9,6 +9,7 @@
 mod clients;
 mod hosts;
 mod registry;
+mod upgrades;
 
 use clients::Clients;
 use emulator::host_emulator::EmulatedFeed;
@@ -20,6 +21,7 @@
 use simd_json::OwnedValue;
 use simd_json::json;
 use simd_json::prelude::*;
+use std::ops::Range;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -169,35 +171,24 @@
     })
 }
 
-#[test]
-fn rules_hold_among_failing_peers_until_the_process_has_ended() {
-    let first = read_from_environment("SOAK_FIRST", 1);
-    let seeds: Vec<u64> =
-        (first..first + read_from_environment("SOAK_SEEDS", DEFAULT_SEEDS)).collect();
+/// Runs the seeds in groups, prints the result of each, and returns those that failed with the violated rules.
+fn run_seeds(seeds: Range<u64>, run: fn(u64) -> Vec<String>) -> Vec<(u64, Vec<String>)> {
+    let seeds: Vec<u64> = seeds.collect();
     let mut failed = Vec::new();
     for group in seeds.chunks(MAX_CONCURRENT_SEEDS) {
-        let runs: Vec<_> = group
-            .iter()
-            .map(|seed| {
-                (
-                    *seed,
-                    std::thread::spawn({
-                        let seed = *seed;
-                        move || run_seed(seed)
-                    }),
-                )
-            })
-            .collect();
+        let start = |seed: &u64| {
+            let seed = *seed;
+            (seed, std::thread::spawn(move || run(seed)))
+        };
+        let runs: Vec<_> = group.iter().map(start).collect();
         for (seed, run) in runs {
             let violations = run.join().expect("the thread of a seed panicked");
-            println!(
-                "seed {seed}: {}",
-                if violations.is_empty() {
-                    "kept"
-                } else {
-                    "BROKEN"
-                }
-            );
+            let result = if violations.is_empty() {
+                "kept"
+            } else {
+                "BROKEN"
+            };
+            println!("seed {seed}: {result}");
             violations
                 .iter()
                 .take(5)
@@ -208,5 +199,13 @@
         }
     }
     println!("{} seeds run, {} failed", seeds.len(), failed.len());
+    failed
+}
+
+#[test]
+fn rules_hold_among_failing_peers_until_the_process_has_ended() {
+    let first = read_from_environment("SOAK_FIRST", 1);
+    let count = read_from_environment("SOAK_SEEDS", DEFAULT_SEEDS);
+    let failed = run_seeds(first..first + count, run_seed);
     assert!(failed.is_empty(), "{failed:#?}");
 }
--- a/tests/upgrades/task_ends.rs
+++ b/tests/upgrades/task_ends.rs
@@ -197,3 +197,50 @@
     expect_end(&mut client, 1);
     expect_nothing(&mut client);
 }
+
+// Guards against ends that a host repeats to the new process before that knows of the other one's tasks.
+#[test]
+fn end_that_reaches_the_new_process_before_it_knows_the_task_is_passed_on() {
+    let (mut feed, host) = (Feed::new(), Host::new("h0", "north"));
+    let processes = Processes::of(single_placer_config(&feed, vec![host.entry("up", 0)]));
+    let (old, _) = processes.start();
+    assert_eq!(feed.accept_subscription(), 1);
+    feed.send(&json!({ "n": 1 }));
+    let mut old_connection = host.accept();
+    let mut client = old.client();
+    run_task(&mut client, &mut old_connection, 1);
+
+    old.signal("-STOP");
+    let (_new, _) = processes.start();
+    let mut new_connection = host.accept();
+    new_connection.report_ended(&hex(1), 16, "");
+    new_connection.expect("ack");
+    old.signal("-CONT");
+
+    expect_end(&mut client, 1);
+    expect_nothing(&mut client);
+}
+
+// Guards against ends that are lost with the second process after the one that had started the task.
+#[test]
+fn end_of_a_task_that_no_client_has_named_outlives_two_upgrades() {
+    let mut upgrade = start_upgrade();
+    run_task_of_departed_client(&mut upgrade, 1);
+    upgrade.old.terminate();
+    assert!(upgrade.old.wait_exit().success());
+    upgrade.new.wait_for_log("others=0");
+    let _repeated = upgrade.host.accept();
+    let (last, _) = upgrade.processes.start();
+    let mut last_connection = upgrade.host.accept();
+    last.wait_for_log("exchanges messages with another process");
+    upgrade.new.terminate();
+    assert!(upgrade.new.wait_exit().success());
+    last.wait_for_log("others=0");
+
+    let mut client = last.client();
+    show_client(&mut client);
+    last_connection.report_ended(&hex(1), 16, "");
+
+    expect_end(&mut client, 1);
+    expect_nothing(&mut client);
+}
