--- a/tests/memory/bursts.rs
+++ b/tests/memory/bursts.rs
@@ -17,6 +17,7 @@
 const ANSWER_LIMIT: Duration = Duration::from_secs(20);
 
 fn play(burst: &Burst) {
+    let _turn = take_turn();
     let feed = Feed::new();
     let behavior = HostBehavior {
         start_time: Duration::from_millis(20),
--- a/tests/memory/connections.rs
+++ b/tests/memory/connections.rs
@@ -14,6 +14,7 @@
 
 #[test]
 fn requests_that_are_repeated_as_soon_as_they_are_rejected_stay_within_the_limit() {
+    let _turn = take_turn();
     let (_feed, program) = start_program();
     let description = "x".repeat(1_000);
     let request = TaskRequest {
@@ -57,6 +58,7 @@
 
 #[test]
 fn hundreds_of_unfinished_messages_stay_within_the_limit() {
+    let _turn = take_turn();
     let (_feed, program) = start_program();
     let message = encode_task_request(1, &IDEMPOTENT_TASK, &"x".repeat(16_000));
     let unfinished = &message[..message.len() - 1];
@@ -79,6 +81,7 @@
 // had acknowledged, which kept them for another 10 s, with the connections that they were sent on.
 #[test]
 fn ends_that_nobody_acknowledges_are_discarded_although_clients_go_on_connecting() {
+    let _turn = take_turn();
     const RETENTION: Duration = Duration::from_secs(10);
     let (program, _feed, _hosts, mut connections) = start_with_hosts(1);
     let mut client = program.client();
--- a/tests/memory/main.rs
+++ b/tests/memory/main.rs
@@ -10,11 +10,18 @@
 use std::io::{ErrorKind, Read, Write};
 use std::net::TcpStream;
 use std::ops::Range;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
+/// Lets one test run at a time: floods that run at once would take each other's processor time, and that of the placers
+/// whose usual clients wait for their answers.
+fn take_turn() -> MutexGuard<'static, ()> {
+    static TURN: Mutex<()> = Mutex::new(());
+    TURN.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// Samples the memory of a program until it is stopped.
 struct MemoryWatch {
     stop: Arc<AtomicBool>,
