--- a/review/standin-2.rs
+++ b/review/standin-2.rs
@@ -661,6 +661,18 @@
     (now.as_nanos() as u64) & 0xffff_ffff_0000_0000 | 0x1000
 }
 
+/// Reads what a bad client is sent.
+fn bad_client(mut client: Client, number: u64, stop: &AtomicBool, record: &Record) {
+    while !client.ended && !stop.load(Ordering::SeqCst) {
+        if let Some(found) = client.next(ms(500)) {
+            record.say(format!("bad client {number} < type {} id {:x} cause {}", found.kind, found.id, found.cause()));
+        }
+    }
+    if client.ended {
+        record.say(format!("bad client {number}: the placer has closed the connection"));
+    }
+}
+
 /// Hundreds of bad clients with figures out of range take all places for clients; usual clients on new connections.
 fn starve(setup: &Setup, trouble: bool) -> bool {
     let record = setup.record;
@@ -671,7 +683,8 @@
     let mut placer = Placer::start(setup, free_address(), &feed, 64, 256);
     let (listen, base) = (placer.listen, wall_id());
     let begin = Instant::now();
-    let mut bad = Vec::new();
+    let stop = Arc::new(AtomicBool::new(false));
+    let mut bad = 0;
     let mut usual = Vec::new();
     for n in 0..60u64 {
         if trouble && n == 6 {
@@ -679,10 +692,12 @@
                 if let Ok(mut client) = Client::connect(listen) {
                     let ask = Ask { cores: 60.0, service: 900 + k, ..PAGE };
                     client.send(&setup_message(base + 0x10_0000 + k, &ask));
-                    bad.push(client);
+                    bad += 1;
+                    let (record, stop) = (record.clone(), stop.clone());
+                    spawn(move || bad_client(client, k, &stop, &record));
                 }
             }
-            record.say(format!("{} bad clients have sent a set-up with cores:60", bad.len()));
+            record.say(format!("{bad} bad clients have sent a set-up with cores:60, ids from {:x} on", base + 0x10_0000));
         }
         let record = record.clone();
         usual.push(spawn(move || usual_request(listen, base + n, &Ask { service: 100 + n, ..PAGE }, &record)));
@@ -690,6 +705,7 @@
         sleep(next.saturating_duration_since(Instant::now()));
     }
     let answers: Vec<Answer> = usual.into_iter().map(|thread| thread.join().unwrap()).collect();
+    stop.store(true, Ordering::SeqCst);
     let late = |after: &Duration| *after > ms(6_000 + 500 + 50);
     let lost = answers.iter().filter(|answer| match answer {
         Answer::None => true,
@@ -716,7 +732,7 @@
     let (listen, base) = (placer.listen, wall_id());
     let (stop, named) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicU64::new(0)));
     for bad in 0..if trouble { 4u64 } else { 0 } {
-        let (stop, named) = (stop.clone(), named.clone());
+        let (stop, named, record) = (stop.clone(), named.clone(), record.clone());
         spawn(move || {
             while !stop.load(Ordering::SeqCst) {
                 let Ok(mut client) = Client::connect(listen) else { return };
@@ -727,8 +743,14 @@
                     bytes.extend(setup_message(base + 0x100_0000 * (bad + 1) + n, &ask));
                 }
                 client.send(&bytes);
+                record.say(format!("bad client {bad} has sent 300 set-ups with at:h-a, {} in all so far", named.load(Ordering::SeqCst)));
                 let until = Instant::now() + ms(1_000);
-                while client.next(until.saturating_duration_since(Instant::now())).is_some() {}
+                while let Some(found) = client.next(until.saturating_duration_since(Instant::now())) {
+                    record.say(format!("bad client {bad} < type {} id {:x} cause {}", found.kind, found.id, found.cause()));
+                }
+                if client.ended {
+                    record.say(format!("bad client {bad}: the placer has closed the connection"));
+                }
             }
         });
     }
