Bound the memory of tasks that clients name as running

What callers saw: a placer of 32 MB went over its limit after some 30,000 set-ups with 'at' whose ids no host knows, and the platform kills it with all open requests. The clients got no refusal, error or close.

Cause: adopt_task kept an entry of about 1 kB for each of them, until its host released it or was lost, with no bound. On the way: timers of requests that are over stayed until due, and timer slots kept their capacity (41 MB when each task is released as soon as it is named).

Timers without effect are discarded once they are the greater part.

Why it works: what a client can add without a host's word is bounded in bytes, whatever it names and on however many connections; nothing is told to the client that could make it start the task a second time.

--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -3,8 +3,9 @@
 //! dispatch is not known at all: events on a connection are passed to the implementation of [`ClientEvents`].
 //!
 //! [`table`] holds the connections, [`accept`] listens for and serves them, [`status`] tells whether a client is still
-//! connected, [`task_ends`] sends task ends until a client has acknowledged them, and [`idle`] closes connections that
-//! are idle or whose descriptors are needed elsewhere.
+//! connected, [`task_ends`] sends task ends until a client has acknowledged them, [`idle`] closes connections that are
+//! idle or whose descriptors are needed elsewhere, and [`retirement`] closes connections that are in use and no longer
+//! wanted.
 
 pub mod accept;
 mod accept_delay;
@@ -14,6 +15,7 @@
 mod idle;
 mod pending_task_ends;
 mod read_summary;
+mod retirement;
 mod status;
 mod table;
 mod task_ends;
--- a/src/net/clients/accept.rs
+++ b/src/net/clients/accept.rs
@@ -226,7 +226,11 @@
     conn.close(reason);
     handler.borrow_mut().client_closed(id, reason);
     let is_fault = matches!(reason, CloseReason::Malformed(_) | CloseReason::IdInUse);
-    if is_fault || matches!(reason, CloseReason::Draining | CloseReason::Idle) {
+    let leaves_unread = matches!(
+        reason,
+        CloseReason::Draining | CloseReason::Idle | CloseReason::TooManyTasks
+    );
+    if is_fault || leaves_unread {
         handler.borrow_mut().clients_mut().shutting_down += 1;
         if is_fault {
             conn.shutdown_gracefully().await;
--- a/src/net/clients/table.rs
+++ b/src/net/clients/table.rs
@@ -3,6 +3,7 @@
 use super::id::ClientId;
 use super::pending_task_ends::PendingTaskEnds;
 use super::read_summary::ReadSummary;
+use super::retirement::Retirement;
 use crate::net::conn::{CloseReason, Connection};
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
@@ -40,6 +41,8 @@
     pub(super) is_processing: bool,
     /// Hosts whose attempts wait until the input of this connection has been processed.
     pub(super) waiting_hosts: BTreeSet<HostId>,
+    /// Set once this process no longer wants the connection.
+    pub(super) retirement: Option<Retirement>,
 }
 
 impl Client {
@@ -59,6 +62,7 @@
             bytes_read: 0,
             is_processing: false,
             waiting_hosts: BTreeSet::new(),
+            retirement: None,
         }
     }
 
--- a/src/net/conn/close_reason.rs
+++ b/src/net/conn/close_reason.rs
@@ -37,6 +37,8 @@
     Draining,
     /// The peer sent a request with the id of another open request.
     IdInUse,
+    /// The peer named more running tasks than there is memory for.
+    TooManyTasks,
 }
 
 impl CloseReason {
@@ -68,6 +70,7 @@
             CloseReason::Evicted => write!(f, "evicted"),
             CloseReason::Draining => write!(f, "draining"),
             CloseReason::IdInUse => write!(f, "id-in-use"),
+            CloseReason::TooManyTasks => write!(f, "too-many-tasks"),
         }
     }
 }
--- a/src/net/dispatch.rs
+++ b/src/net/dispatch.rs
@@ -21,6 +21,7 @@
 //! `hosts`, `feed`, `peers`) do not depend on dispatch, which implements their event traits.
 
 mod admin_commands;
+mod adoption_memory;
 mod attempts;
 mod client_messages;
 mod connection_slots;
@@ -45,6 +46,7 @@
 mod shutdown;
 mod timer_event;
 mod timers;
+mod untracked_tasks;
 
 use super::clients::Clients;
 use super::clock::Clock;
@@ -61,6 +63,7 @@
 use super::peers::remote_tasks::RemoteTasks;
 use super::timer_wheel::TimerWheel;
 use crate::operator::Operator;
+use adoption_memory::AdoptionMemory;
 use async_executor::LocalExecutor;
 use loop_lag::LoopLag;
 use overload_log::OverloadLog;
@@ -127,6 +130,8 @@
     name: String,
     facade: Facade,
     timer_wheel: TimerWheel<TimerEvent>,
+    /// The number of timers at which those without effect are discarded.
+    timer_compaction_at: usize,
     hosts: BTreeMap<HostId, HostLink>,
     /// Hosts with pending attempts that wait because the connection's write queue is not empty.
     backlogged_hosts: BTreeSet<HostId>,
@@ -137,6 +142,7 @@
     request_index: RequestIndex,
     requests: BTreeMap<Ticket, Request>,
     request_memory: RequestMemory,
+    adoptions: AdoptionMemory,
     tickets_by_task: BTreeMap<TaskId, Ticket>,
     ended_tasks: BTreeMap<TaskId, EndedTask>,
     next_ticket: u64,
@@ -218,6 +224,7 @@
                 0,
             ),
             timer_wheel: TimerWheel::new(now),
+            timer_compaction_at: timers::MIN_TIMERS_TO_COMPACT,
             hosts: BTreeMap::new(),
             backlogged_hosts: BTreeSet::new(),
             active_hosts: 0,
@@ -225,6 +232,7 @@
             request_index: RequestIndex::default(),
             requests: BTreeMap::new(),
             request_memory: RequestMemory::new(config.limits.memory_bytes),
+            adoptions: AdoptionMemory::new(config.limits.memory_bytes),
             tickets_by_task: BTreeMap::new(),
             ended_tasks: BTreeMap::new(),
             next_ticket: 0,
@@ -259,8 +267,7 @@
     /// Starts the periodic sweep, and applies the endpoint list that is stored in the configuration.
     pub fn start(&mut self) {
         let now = self.clock.now();
-        self.timer_wheel
-            .add(now + SWEEP_INTERVAL, TimerEvent::Sweep);
+        self.add_timer(now + SWEEP_INTERVAL, TimerEvent::Sweep);
         let cached_updates = std::mem::take(&mut self.cached_updates);
         for (index, message) in cached_updates.into_iter().enumerate() {
             self.endpoints_rejected(&message.rejected);
@@ -297,6 +304,7 @@
         let memory_bytes = limits.memory_bytes / processes;
         limit_connection_memory(memory_bytes);
         self.limit_request_memory(self.clock.now(), memory_bytes);
+        self.limit_adoption_memory(self.clock.now(), memory_bytes);
     }
 }
 
--- a/src/net/dispatch/admin_commands.rs
+++ b/src/net/dispatch/admin_commands.rs
@@ -146,6 +146,7 @@
         let _ = vars.insert("requests", OwnedValue::from(requests));
         let _ = vars.insert("task_ends", self.task_end_vars());
         let _ = vars.insert("request_memory", self.request_memory.vars());
+        let _ = vars.insert("adopted_tasks", self.adoptions.vars());
         let _ = vars.insert("host_connections", self.connect_counters.to_json());
         vars
     }
--- a/src/net/dispatch/attempts.rs
+++ b/src/net/dispatch/attempts.rs
@@ -51,8 +51,7 @@
             sent_on: None,
         };
         self.set_request_state(ticket, state);
-        self.timer_wheel
-            .add(deadline, TimerEvent::AttemptTimeout(ticket, attempt));
+        self.add_timer(deadline, TimerEvent::AttemptTimeout(ticket, attempt));
         let link = self.hosts.get_mut(&host);
         let Some(link) = link.filter(|link| link.address.is_some()) else {
             return self.end_attempt(now, ticket, Outcome::NotSent, OutcomeDetail::Unknown);
@@ -70,7 +69,7 @@
         let request = self.requests.get(&ticket);
         if request.is_some_and(|request| request.state.is_unsent()) {
             let timer = TimerEvent::UnsentTimeout(ticket, attempt);
-            self.timer_wheel.add(now + self.connect_timeout, timer);
+            self.add_timer(now + self.connect_timeout, timer);
         }
         None
     }
@@ -171,7 +170,7 @@
                 self.counters.record_attempt(request.class);
                 *sent_on = Some(link.connection_id);
                 let timer = TimerEvent::SilenceCheck(pending.ticket, pending.attempt);
-                self.timer_wheel.add(now + SILENCE_TIMEOUT, timer);
+                self.add_timer(now + SILENCE_TIMEOUT, timer);
                 SendResult::Done
             }
         }
--- a/src/net/dispatch/client_messages.rs
+++ b/src/net/dispatch/client_messages.rs
@@ -83,6 +83,7 @@
     fn client_closed(&mut self, client: ClientId, reason: CloseReason) {
         let now = self.clock.now();
         let open = self.clients.remove(now, client);
+        self.adopter_disconnected(client);
         info!(peer = "client", connection = %client, %reason, open = open.len(), "connection ended");
         for ticket in open {
             self.cancel_request(now, ticket);
@@ -161,6 +162,7 @@
         match (known, is_own) {
             (Some(ticket), Some(true)) => return self.cancel_request(now, ticket),
             (Some(ticket), None) => self.release_running_task(now, ticket, cause),
+            (None, _) if self.release_untracked_task(now, client, id, cause) => {}
             (None, _) => {
                 let sender = ReleaseSender::Client(client);
                 if self.release_unknown_task(now, id, cause, sender) {
@@ -192,9 +194,13 @@
             self.counters.record_response(class, RequestOutcome::Failed);
             return self.respond_invalid(now, client, id);
         }
+        if self.clients.rejects_requests(now, client) {
+            return self.reject_at_arrival(now, client, id, &message);
+        }
         let Some(reserved) = self.reserve_memory(now, client, &message) else {
-            return self.respond_no_memory(now, client, id, &message);
+            return self.reject_at_arrival(now, client, id, &message);
         };
+        self.forget_untracked(id);
         let ticket = self.insert_request(
             now,
             id,
--- a/src/net/dispatch/connection_slots.rs
+++ b/src/net/dispatch/connection_slots.rs
@@ -132,7 +132,7 @@
             link.last_closed_at = now;
             link.replaced.push((id, conn));
             let timer = TimerEvent::EvictionTimeout(host.clone(), id);
-            self.timer_wheel.add(now + EVICTION_READ_TIME, timer);
+            self.add_timer(now + EVICTION_READ_TIME, timer);
         } else if let Some(conn) = link.open_connection(id) {
             conn.close(CloseReason::Evicted);
         }
--- a/src/net/dispatch/host_connections.rs
+++ b/src/net/dispatch/host_connections.rs
@@ -93,8 +93,7 @@
         if link.state != EndpointState::Removed {
             let backoff = link.reconnect_backoff();
             let backoff = backoff.max(self.health_check_delay(now, host));
-            self.timer_wheel
-                .add(now + backoff, TimerEvent::Reconnect(host.clone(), id));
+            self.add_timer(now + backoff, TimerEvent::Reconnect(host.clone(), id));
         }
         if matches!(
             error,
@@ -202,7 +201,7 @@
         self.connection_pool.occupy(now, (host.clone(), id));
         self.reclaim_descriptors(now);
         let timer = TimerEvent::ConnectTimeout(host.clone(), id);
-        self.timer_wheel.add(now + self.connect_timeout, timer);
+        self.add_timer(now + self.connect_timeout, timer);
         self.task_spawner
             .spawn(hosts::serve(host.clone(), id, address, stopped, shared));
         self.update_priorities(now, host, ConnectionUse::Unchanged);
@@ -305,7 +304,7 @@
         if link.tasks_lost_at != Some(lost_at) {
             link.tasks_lost_at = Some(lost_at);
             let timer = TimerEvent::HostUnreachable(host.clone(), since);
-            self.timer_wheel.add(lost_at, timer);
+            self.add_timer(lost_at, timer);
         }
     }
 
@@ -385,7 +384,7 @@
             return self.suspect_host(now, &host);
         }
         let timer = TimerEvent::SilenceCheck(ticket, attempt);
-        self.timer_wheel.add(now + SILENCE_TIMEOUT - silence, timer);
+        self.add_timer(now + SILENCE_TIMEOUT - silence, timer);
     }
 
     /// Sends a check on connections to hosts with running tasks that have been silent for `CHECK_AFTER_SILENCE`, and
--- a/src/net/dispatch/host_messages.rs
+++ b/src/net/dispatch/host_messages.rs
@@ -105,6 +105,7 @@
                 self.end_running_task(now, ticket, cause, detail);
             }
             HostMessage::Report(report, value) => {
+                self.adoption_confirmed(ticket);
                 let event = PlacementEvent::TaskReported {
                     ticket,
                     host: host.clone(),
--- a/src/net/dispatch/peer_task_ends.rs
+++ b/src/net/dispatch/peer_task_ends.rs
@@ -200,7 +200,7 @@
         // What hosts have written to the connections of that process is lost. They repeat it on the next connection.
         for host in hosts {
             let timer = TimerEvent::RepeatedEnds(host);
-            self.timer_wheel.add(now + REPEATED_ENDS_DELAY, timer);
+            self.add_timer(now + REPEATED_ENDS_DELAY, timer);
         }
     }
 
@@ -225,6 +225,9 @@
         detail: OutcomeDetail,
         from: Option<PeerId>,
     ) {
+        if self.end_untracked_task(now, task, &release.host, release.cause) {
+            return;
+        }
         let remote = self.remote_tasks.get(task);
         let is_remote = remote.is_some_and(|remote| remote.state.host() == Some(&release.host));
         if is_remote && self.remote_tasks.take_orphan(task).is_some() {
--- a/src/net/dispatch/request_memory.rs
+++ b/src/net/dispatch/request_memory.rs
@@ -138,8 +138,8 @@
         }
     }
 
-    /// Rejects the request with this id, for which there is no memory.
-    pub(super) fn respond_no_memory(
+    /// Rejects a request that has just arrived and was not added to the table.
+    pub(super) fn reject_at_arrival(
         &mut self,
         now: Micros,
         client: ClientId,
--- a/src/net/dispatch/requests.rs
+++ b/src/net/dispatch/requests.rs
@@ -100,6 +100,7 @@
                 self.ended_since_announcement.push(request.id);
             }
         }
+        self.release_adoption_memory(ticket, &request);
         if let Some(origin_client) = request.origin_client {
             self.clients.running_task_ended(origin_client);
         }
--- a/src/net/dispatch/running_tasks.rs
+++ b/src/net/dispatch/running_tasks.rs
@@ -34,7 +34,8 @@
     /// Adopts a task that a host already runs.
     ///
     /// If the host's release of the task has arrived before, the client is sent the end of the task instead. If the
-    /// host is not in the endpoint list yet, the task is kept for `UNKNOWN_HOST_TIMEOUT` until the list includes it.
+    /// host is not in the endpoint list yet, the task is kept for `UNKNOWN_HOST_TIMEOUT` until the list includes it. A
+    /// task for which there is no memory is not tracked (`adoption_memory`).
     pub(super) fn adopt_task(
         &mut self,
         now: Micros,
@@ -55,6 +56,11 @@
             info!(task = %id, reason = "released", host = &*host.0, "task not running");
             return self.clients.send_task_end_to(now, client, id, end);
         }
+        if !self.make_room_for_adoption(now, client, id, host) {
+            return;
+        }
+        let listed = self.hosts.get_key_value(host);
+        let host = listed.map_or(host, |(listed, _)| listed).clone();
         let state = RequestState::Running {
             attempt: 0,
             host: host.clone(),
@@ -63,15 +69,16 @@
         let ticket = self.insert_request(now, id, Some(client), &message.placement.class, state);
         info!(task = %id, host = &*host.0, connection = %client, "task adopted");
         self.assign_running_task(ticket, client);
-        if self.hosts.contains_key(host) {
+        self.charge_adoption(client, ticket, &host);
+        if self.hosts.contains_key(&host) {
             self.clients.record_task_run(client);
-            self.update_priorities(now, host, ConnectionUse::Unchanged);
-            self.request_connection(now, host);
+            self.update_priorities(now, &host, ConnectionUse::Unchanged);
+            self.request_connection(now, &host);
         } else {
             let timer = TimerEvent::UnknownHostTimeout(ticket);
-            self.timer_wheel.add(now + UNKNOWN_HOST_TIMEOUT, timer);
+            self.add_timer(now + UNKNOWN_HOST_TIMEOUT, timer);
         }
-        let decisions = self.facade.adopt(now, ticket, &message.placement, host);
+        let decisions = self.facade.adopt(now, ticket, &message.placement, &host);
         self.apply_decisions(now, decisions.unwrap_or_default());
     }
 
@@ -164,12 +171,11 @@
         };
         self.set_request_state(ticket, state);
         self.send_release(now, ticket, &host, &line);
-        self.timer_wheel.add(
+        self.add_timer(
             now + RELEASE_RESEND_TIMEOUT,
             TimerEvent::ReleaseCheck(ticket),
         );
-        self.timer_wheel
-            .add(now + RELEASE_TIMEOUT, TimerEvent::ReleaseTimeout(ticket));
+        self.add_timer(now + RELEASE_TIMEOUT, TimerEvent::ReleaseTimeout(ticket));
         self.request_connection(now, &host);
     }
 
@@ -251,7 +257,7 @@
             return self.end_running_task(now, ticket, Cause::CANCELLED, OutcomeDetail::Unknown);
         }
         let timer = TimerEvent::ReleaseTimeout(ticket);
-        self.timer_wheel.add(now + RELEASE_RECHECK_INTERVAL, timer);
+        self.add_timer(now + RELEASE_RECHECK_INTERVAL, timer);
     }
 
     /// Ends an adopted task if its host is still not in the endpoint list, since the task would otherwise be kept
@@ -273,9 +279,7 @@
         }
         if !self.list_is_up_to_date(now, *since) {
             let timer = TimerEvent::UnknownHostTimeout(ticket);
-            return self
-                .timer_wheel
-                .add(now + UNKNOWN_HOST_RECHECK_INTERVAL, timer);
+            return self.add_timer(now + UNKNOWN_HOST_RECHECK_INTERVAL, timer);
         }
         let (id, client) = (request.id, request.client);
         let (attempt, host, elapsed) = (*attempt, host.clone(), now - since);
@@ -349,6 +353,7 @@
 
     /// Ends the tasks that started at a host before the time `before`: they are lost.
     pub(super) fn end_lost_tasks(&mut self, now: Micros, host: &HostId, before: Micros) {
+        self.end_lost_untracked_tasks(now, host, before);
         self.end_lost(now, host, |state| match state {
             RequestState::Running { since, .. } | RequestState::Releasing { since, .. } => {
                 *since < before
@@ -360,6 +365,7 @@
     /// Ends the tasks at a host that has been silent for too long: they count as lost. Releases are kept, because the host
     /// may only be cut off and come back with the tasks running.
     pub(super) fn end_tasks_of_silent_host(&mut self, now: Micros, host: &HostId) {
+        self.end_lost_untracked_tasks(now, host, now);
         self.end_lost(now, host, |state| {
             matches!(state, RequestState::Running { .. })
         });
--- a/src/net/dispatch/timer_event.rs
+++ b/src/net/dispatch/timer_event.rs
@@ -34,3 +34,23 @@
     /// The periodic sweep of all connections is due.
     Sweep,
 }
+
+impl TimerEvent {
+    /// Returns the request that the timer is about, if it is about one.
+    pub(super) fn ticket(&self) -> Option<Ticket> {
+        match self {
+            TimerEvent::AttemptTimeout(ticket, _)
+            | TimerEvent::SilenceCheck(ticket, _)
+            | TimerEvent::UnsentTimeout(ticket, _)
+            | TimerEvent::ReleaseCheck(ticket)
+            | TimerEvent::ReleaseTimeout(ticket)
+            | TimerEvent::UnknownHostTimeout(ticket) => Some(*ticket),
+            TimerEvent::ConnectTimeout(..)
+            | TimerEvent::Reconnect(..)
+            | TimerEvent::HostUnreachable(..)
+            | TimerEvent::EvictionTimeout(..)
+            | TimerEvent::RepeatedEnds(_)
+            | TimerEvent::Sweep => None,
+        }
+    }
+}
--- a/src/net/dispatch/timers.rs
+++ b/src/net/dispatch/timers.rs
@@ -10,6 +10,8 @@
 
 /// How long an ended task is remembered.
 const ENDED_TASK_RETENTION: Micros = 10_000 * MILLISECOND;
+/// The number of timers up to which those without effect are kept until they are due.
+pub(super) const MIN_TIMERS_TO_COMPACT: usize = 4_096;
 
 impl Dispatch {
     /// Handles one tick of the event loop: retries pending attempts, fires due timers, and applies the decisions of the
@@ -29,10 +31,25 @@
         self.claim_waiting_ends(now);
         self.announce_task_ends();
         self.close_quiescent_clients(now);
+        self.clients.close_retired(now);
         let decisions = self.facade.tick(now);
         self.apply_decisions(now, decisions);
     }
 
+    /// Adds a timer. Timers of requests that are over are discarded once they are the greater part, so that a client
+    /// that ends ever new requests does not fill the memory with timers.
+    pub(super) fn add_timer(&mut self, at: Micros, event: TimerEvent) {
+        self.timer_wheel.add(at, event);
+        if self.timer_wheel.len() >= self.timer_compaction_at {
+            let requests = &self.requests;
+            self.timer_wheel.retain(|event| {
+                let ticket = event.ticket();
+                ticket.is_none_or(|ticket| requests.contains_key(&ticket))
+            });
+            self.timer_compaction_at = (2 * self.timer_wheel.len()).max(MIN_TIMERS_TO_COMPACT);
+        }
+    }
+
     /// Handles a due timer, if the situation for which it was set still exists.
     fn fire_timer(&mut self, now: Micros, timer: TimerEvent) {
         match timer {
@@ -93,7 +110,6 @@
         self.log_overload(now);
         self.ended_tasks
             .retain(|_, ended| now - ended.ended_at < ENDED_TASK_RETENTION);
-        self.timer_wheel
-            .add(now + SWEEP_INTERVAL, TimerEvent::Sweep);
+        self.add_timer(now + SWEEP_INTERVAL, TimerEvent::Sweep);
     }
 }
--- a/src/net/timer_wheel/tests.rs
+++ b/src/net/timer_wheel/tests.rs
@@ -25,3 +25,15 @@
         "an item is lost after a stall of more than one turn"
     );
 }
+
+#[test]
+fn items_that_are_not_retained_are_not_returned() {
+    let mut wheel = TimerWheel::new(0);
+    (0..10).for_each(|item| wheel.add(item * TICK, item));
+
+    wheel.retain(|item| item % 2 == 0);
+
+    assert_eq!(wheel.len(), 5);
+    assert_eq!(wheel.due(100 * TICK), [0, 2, 4, 6, 8]);
+    assert_eq!(wheel.len(), 0);
+}
--- a/tests/memory/main.rs
+++ b/tests/memory/main.rs
@@ -1,11 +1,13 @@
 //! Tests of the placer's memory limit: whatever clients send, the process stays below it, and usual clients keep their
 //! answers.
 
+mod adoptions;
 mod bursts;
 mod connections;
 
 use emulator::*;
 use simd_json::json;
+use simd_json::prelude::*;
 use std::collections::BTreeSet;
 use std::io::{ErrorKind, Read, Write};
 use std::net::TcpStream;
