Close connections that stay in use in a drain

What callers saw: after drain-on, a kept connection with running tasks was never closed, and the requests that went on arriving on it were placed. 4.6 s later its latest request was under 0.5 s old.

Cause: close_idle_connections keeps a connection while a task that was placed over it runs, and each request on it starts another. Where requests overlap, a response is always pending, with the same result.

Change: a request later than 1 s after the begin of the drain phase retires its connection (clients::retirement), which is closed once nothing is pending on it. From 2 s on, its new requests and those that wait and never ran are rejected (42), from 3 s on unread input no longer keeps it open. A request records whether it may have run. Connections with running tasks that are no longer used are kept, so that their ends can be told.

Why it works: a client that goes on sending has no claim to the connection beyond its pending responses, and the rejections make a moment without one. Ends belong to no connection: they are told on those that are left, or when clients come back.

--- a/src/net/clients/table.rs
+++ b/src/net/clients/table.rs
@@ -19,6 +19,8 @@
     pub(super) conn: Rc<Connection>,
     /// Requests from this connection whose response is pending.
     pub(super) pending_responses: BTreeSet<Ticket>,
+    /// When the last request to place or adopt a task arrived.
+    pub(super) last_request_at: Option<Micros>,
     /// When the last message arrived, or when the connection was added if there was none.
     pub(super) last_message_at: Micros,
     /// Since when a whole message is awaited: since the connection was added, or since part of a message arrived.
@@ -51,6 +53,7 @@
         Client {
             conn,
             pending_responses: BTreeSet::new(),
+            last_request_at: None,
             last_message_at: now,
             message_awaited_since: Some(now),
             has_sent_message: false,
@@ -92,6 +95,8 @@
     reserved_descriptors: usize,
     /// Whether connections without running tasks are closed.
     pub(super) closes_idle: bool,
+    /// Since when the placer drains, so that connections which are still used are retired.
+    pub(super) draining_since: Option<Micros>,
 }
 
 impl Clients {
@@ -105,6 +110,7 @@
             shutting_down: 0,
             reserved_descriptors,
             closes_idle: false,
+            draining_since: None,
         }
     }
 
@@ -145,6 +151,13 @@
         }
     }
 
+    /// Records that a request to place or adopt a task arrived.
+    pub fn request_received(&mut self, now: Micros, id: ClientId) {
+        if let Some(client) = self.connections.get_mut(&id) {
+            client.last_request_at = Some(now);
+        }
+    }
+
     /// Returns since when the input that is now being read from a connection may have been waiting, if that is known.
     pub fn input_waits_since(&self, id: ClientId) -> Option<Micros> {
         self.connections.get(&id)?.input_waits_since
--- a/src/net/dispatch/admin_commands.rs
+++ b/src/net/dispatch/admin_commands.rs
@@ -38,19 +38,21 @@
         self.lifecycle.is_shutting_down() || self.serves()
     }
 
-    /// Updates whether connections without a task are closed, as required by a drain, maintenance or the lifecycle.
-    pub(super) fn apply_close_idle(&mut self) {
+    /// Updates whether connections without a task are closed, as required by a drain, maintenance or the lifecycle, and
+    /// whether connections that are still used are.
+    pub(super) fn apply_close_idle(&mut self, now: Micros) {
         let closes_idle = self.closes_idle_clients || self.lifecycle.closes_idle_connections();
         self.clients.set_close_idle(closes_idle);
+        self.clients.set_draining(now, self.lifecycle.is_draining());
     }
 
     /// Handles an event that affects whether this process accepts requests.
     pub fn handle_lifecycle_event(&mut self, now: Micros, event: Event) {
         let before = self.lifecycle.phase();
         match self.lifecycle.handle(now, event) {
-            Some(Effect::StartClosingIdle | Effect::StopClosingIdle) => self.apply_close_idle(),
+            Some(Effect::StartClosingIdle | Effect::StopClosingIdle) => self.apply_close_idle(now),
             Some(Effect::ShutDown { answer_within }) => {
-                self.apply_close_idle();
+                self.apply_close_idle(now);
                 self.begin_shutdown(now, answer_within);
             }
             None => {}
--- a/src/net/dispatch/attempts.rs
+++ b/src/net/dispatch/attempts.rs
@@ -196,6 +196,7 @@
             return None;
         };
         let (attempt, host, elapsed) = (*attempt, host.clone(), now - since);
+        request.may_have_run |= !outcome.never_ran();
         let relative_duration = elapsed as f64 / request.latency_objective as f64;
         info!(task = %request.id, host = &*host.0, attempt, ?outcome, ?detail, elapsed_ms = elapsed / MILLISECOND, "attempt ended");
         self.set_request_state(ticket, RequestState::Queued);
--- a/src/net/dispatch/client_messages.rs
+++ b/src/net/dispatch/client_messages.rs
@@ -69,6 +69,12 @@
         if !matches!(message, ClientMessage::HealthCheck) {
             self.clients.client_traffic_seen(now, client);
         }
+        if matches!(
+            message,
+            ClientMessage::TaskRequest(_) | ClientMessage::InvalidTaskRequest(_)
+        ) {
+            self.clients.request_received(now, client);
+        }
         self.handle_client_message(now, client, id, message);
     }
 
--- a/src/net/dispatch/request.rs
+++ b/src/net/dispatch/request.rs
@@ -99,6 +99,8 @@
     pub(super) reserved_memory: Option<ReservedMemory>,
     /// The number of attempts made so far.
     pub(super) attempts: u32,
+    /// Whether an attempt has ended without proof that the task never ran.
+    pub(super) may_have_run: bool,
     /// The request's state, which only `Dispatch::set_request_state` changes.
     pub(super) state: RequestState,
     /// The index of the request's class, if the settings define the class.
@@ -112,6 +114,11 @@
 }
 
 impl Request {
+    /// Whether the request is not assigned to a host, and it is certain that its task never ran.
+    pub(super) fn never_ran(&self) -> bool {
+        self.state == RequestState::Queued && !self.may_have_run
+    }
+
     /// Whether a response to the client is pending.
     pub(super) fn awaits_response(&self) -> bool {
         matches!(
--- a/src/net/dispatch/request_memory.rs
+++ b/src/net/dispatch/request_memory.rs
@@ -2,7 +2,7 @@
 //! is no room is rejected, or displaces a queued one of a client that holds more. A rejected request never ran, so its
 //! client may retry it.
 
-use super::request::{Request, RequestState};
+use super::request::Request;
 use super::{Dispatch, MILLISECOND};
 use crate::net::clients::ClientId;
 use crate::net::codec::{Cause, TaskId, TaskRequest, binary};
@@ -154,20 +154,30 @@
         self.clients.send(now, client, &message);
     }
 
-    /// Rejects the latest request of a client of which no attempt was made. Returns whether there was one.
+    /// Rejects a request of a client to make room for others. Returns whether there was one that could be rejected.
     fn displace_request(&mut self, now: Micros, holder: Option<ClientId>) -> bool {
-        let never_ran = |ticket: &Ticket| {
-            let request = self.requests.get(ticket);
-            request.is_some_and(|request| {
-                request.state == RequestState::Queued && request.attempts == 0
-            })
-        };
-        let untried = holder.and_then(|holder| self.clients.latest_pending(holder, never_ran));
-        let Some(ticket) = untried else {
+        let is_untried = |request: &Request| request.never_ran() && request.attempts == 0;
+        let was_displaced =
+            holder.is_some_and(|holder| self.reject_latest(now, holder, is_untried));
+        if was_displaced {
+            self.request_memory.displaced += 1;
+            self.request_memory.log(now);
+        }
+        was_displaced
+    }
+
+    /// Rejects the latest request of a client that meets the condition, which must exclude those that may have run.
+    /// Returns whether there was one.
+    pub(super) fn reject_latest(
+        &mut self,
+        now: Micros,
+        client: ClientId,
+        condition: impl Fn(&Request) -> bool,
+    ) -> bool {
+        let meets_condition = |ticket: &Ticket| self.requests.get(ticket).is_some_and(&condition);
+        let Some(ticket) = self.clients.latest_pending(client, meets_condition) else {
             return false;
         };
-        self.request_memory.displaced += 1;
-        self.request_memory.log(now);
         let retry_after_ms = self.default_retry_after_ms();
         self.respond_unplaced(now, ticket, Cause::REJECTED, retry_after_ms);
         self.report_event(now, PlacementEvent::Cancelled(ticket));
--- a/src/net/dispatch/requests.rs
+++ b/src/net/dispatch/requests.rs
@@ -59,6 +59,7 @@
             message: None,
             reserved_memory: None,
             attempts: 0,
+            may_have_run: false,
             state,
             class: self.facade.class_index(class),
             arrived_at: now,
--- a/src/net/dispatch/shutdown.rs
+++ b/src/net/dispatch/shutdown.rs
@@ -50,11 +50,11 @@
             match action {
                 DrainAction::StartClosingIdle => {
                     self.closes_idle_clients = true;
-                    self.apply_close_idle();
+                    self.apply_close_idle(now);
                 }
                 DrainAction::StopClosingIdle => {
                     self.closes_idle_clients = false;
-                    self.apply_close_idle();
+                    self.apply_close_idle(now);
                 }
                 DrainAction::AnswerAll { within } => self.begin_shutdown(now, within),
                 DrainAction::Exit { left } => {
@@ -128,6 +128,17 @@
         }
     }
 
+    /// Closes the client connections that are no longer wanted although they are in use, each once nothing is pending on
+    /// it. In a drain, requests that never ran are rejected after a while, so that their clients request the
+    /// tasks elsewhere.
+    pub(super) fn close_retired_clients(&mut self, now: Micros) {
+        self.clients.retire_used();
+        for client in self.clients.draining_with_pending_responses(now) {
+            while self.reject_latest(now, client, Request::never_ran) {}
+        }
+        self.clients.close_retired(now);
+    }
+
     /// Sends a failure response to every request that is still pending when the process exits.
     pub fn fail_pending_requests(&mut self) {
         let now = self.clock.now();
--- a/src/net/dispatch/timers.rs
+++ b/src/net/dispatch/timers.rs
@@ -31,7 +31,7 @@
         self.claim_waiting_ends(now);
         self.announce_task_ends();
         self.close_quiescent_clients(now);
-        self.clients.close_retired(now);
+        self.close_retired_clients(now);
         let decisions = self.facade.tick(now);
         self.apply_decisions(now, decisions);
     }
--- a/src/operation/lifecycle.rs
+++ b/src/operation/lifecycle.rs
@@ -18,7 +18,8 @@
 //!   reconnects through a load balancer, which may not have seen a failed check yet.
 //! - *draining*: each connection is closed once it is idle. A connection is idle if no request is open on it, nothing
 //!   is waiting to be read from it, and no task that was placed over it is running. The end of each task can
-//!   therefore still be reported.
+//!   therefore still be reported. A connection on which requests go on arriving is closed although its tasks run;
+//!   their ends are reported on other connections, or once clients come back.
 //! - *shutting down*: idle connections are closed as in *draining*, and new connections are left to the other process
 //!   of this placer. Health checks of clients still pass, because the placer as a whole accepts requests; the `check`
 //!   command of the admin protocol fails, because this process does not.
@@ -136,6 +137,11 @@
         self.phase == Phase::ShuttingDown
     }
 
+    /// Returns whether the placer drains, and the load balancer has seen it.
+    pub fn is_draining(&self) -> bool {
+        self.phase == Phase::Draining
+    }
+
     /// Returns whether idle connections are closed in the current phase.
     pub fn closes_idle_connections(&self) -> bool {
         matches!(self.phase, Phase::Draining | Phase::ShuttingDown)
