Announce tasks sent to a host to the placer's other processes

What callers saw: during an upgrade, an id of a class that must not run twice was sent to a host by one process after its client had left the other one, or while its attempt was still out there.

Cause: each process checks an id against its own requests and ended tasks, and requests that were tried but not started were not announced.

Why it works: an id is known to all processes before its attempt can end.

--- a/src/net/codec/peer.rs
+++ b/src/net/codec/peer.rs
@@ -49,6 +49,8 @@
     },
     /// A client has named a running task to the sender, which is responsible for it from now on.
     Adopted(TaskId),
+    /// The sender has sent the task to a host, so that no other process may do so too.
+    Tried(TaskId),
     /// A message of a type that this version does not know.
     Other,
 }
@@ -116,6 +118,7 @@
             detail: outcome_detail(field(&value, "note").ok()),
         },
         "adopted" => PeerMessage::Adopted(task()?),
+        "tried" => PeerMessage::Tried(task()?),
         _ => PeerMessage::Other,
     })
 }
@@ -184,6 +187,7 @@
             "c": cause.0,
         }),
         PeerMessage::Adopted(task) => task_message("adopted", task),
+        PeerMessage::Tried(task) => task_message("tried", task),
         PeerMessage::Other => return None,
     };
     Some(json_line(&value.into())).filter(|line| line.len() <= MAX_LINE_BYTES)
--- a/src/net/codec/peer/tests.rs
+++ b/src/net/codec/peer/tests.rs
@@ -24,6 +24,7 @@
         PeerMessage::Claim(task),
         PeerMessage::Grant(task),
         PeerMessage::Adopted(task),
+        PeerMessage::Tried(task),
     ];
     messages.extend(states.map(|state| PeerMessage::Task(task, state)));
     messages.extend([true, false].map(|is_known| PeerMessage::ReleaseReply { task, is_known }));
--- a/src/net/dispatch.rs
+++ b/src/net/dispatch.rs
@@ -94,6 +94,8 @@
 const CLOSING_HEALTH_CONNECTIONS: usize = 4;
 /// Descriptors reserved for the control socket: its listener, its connections, and one connection that is closing.
 const CTL_DESCRIPTORS: usize = 6;
+/// The offset of the clock from Unix time, which it already returns.
+const UNIX_CLOCK_OFFSET: Micros = 0;
 /// Write queues may use at most the memory limit divided by this.
 const QUEUE_MEMORY_DIVISOR: usize = 6;
 /// Unfinished messages of clients may use at most the memory limit divided by this.
@@ -147,6 +149,8 @@
     adoptions: AdoptionMemory,
     tickets_by_task: BTreeMap<TaskId, Ticket>,
     ended_tasks: EndedTasks,
+    /// The tasks that other processes have lately sent to a host.
+    tried_by_peers: EndedTasks,
     next_ticket: u64,
     connect_timeout: Micros,
     /// Whether hosts are connected to before a connection is needed, which is so if the settings put no price on
@@ -207,7 +211,6 @@
         let now = clock.now();
         let reserved = reserved_descriptors(&config, operator);
         let accounting_window = slow_start_accounting_window(&config.settings);
-        limit_connection_memory(config.limits.memory_bytes);
         Dispatch {
             clock,
             task_spawner,
@@ -222,8 +225,7 @@
                 config.names,
                 config.seed,
                 operator.overload.clone(),
-                // The clock already returns Unix time, so its offset from Unix time is 0.
-                0,
+                UNIX_CLOCK_OFFSET,
             ),
             timer_wheel: TimerWheel::new(now),
             timer_compaction_at: timers::MIN_TIMERS_TO_COMPACT,
@@ -237,6 +239,7 @@
             adoptions: AdoptionMemory::new(config.limits.memory_bytes),
             tickets_by_task: BTreeMap::new(),
             ended_tasks: EndedTasks::new(config.limits.memory_bytes),
+            tried_by_peers: EndedTasks::new(config.limits.memory_bytes),
             next_ticket: 0,
             cached_updates: config.cached_updates,
             is_discovery_up: false,
@@ -268,6 +271,7 @@
 
     /// Starts the periodic sweep, and applies the endpoint list that is stored in the configuration.
     pub fn start(&mut self) {
+        limit_connection_memory(self.limits.memory_bytes);
         let now = self.clock.now();
         self.add_timer(now + SWEEP_INTERVAL, TimerEvent::Sweep);
         let cached_updates = std::mem::take(&mut self.cached_updates);
@@ -308,6 +312,7 @@
         self.limit_request_memory(self.clock.now(), memory_bytes);
         self.limit_adoption_memory(self.clock.now(), memory_bytes);
         self.ended_tasks.set_memory_limit(memory_bytes);
+        self.tried_by_peers.set_memory_limit(memory_bytes);
     }
 }
 
--- a/src/net/dispatch/attempts.rs
+++ b/src/net/dispatch/attempts.rs
@@ -9,6 +9,7 @@
 use super::timer_event::TimerEvent;
 use super::{Dispatch, MILLISECOND};
 use crate::net::clients::{ClientStatus, UnreadInputCache};
+use crate::net::codec::peer::PeerMessage;
 use crate::net::codec::{Cause, TaskId, TaskRequest, lines};
 use crate::net::conn::{CloseReason, Unread};
 use crate::net::hosts::{ConnectionState, PendingAttempt};
@@ -42,6 +43,7 @@
         let request = self.requests.get_mut(&ticket)?;
         let attempt = request.attempts;
         request.attempts += 1;
+        let task = request.id;
         let deadline = now.saturating_add(timeout);
         let state = RequestState::InFlight {
             attempt,
@@ -51,6 +53,9 @@
             sent_on: None,
         };
         self.set_request_state(ticket, state);
+        if attempt == 0 {
+            self.announce(&PeerMessage::Tried(task));
+        }
         self.add_timer(deadline, TimerEvent::AttemptTimeout(ticket, attempt));
         let link = self.hosts.get_mut(&host);
         let Some(link) = link.filter(|link| link.address.is_some()) else {
--- a/src/net/dispatch/client_messages.rs
+++ b/src/net/dispatch/client_messages.rs
@@ -242,7 +242,7 @@
         if id == TaskId(0) {
             return Err(InvalidTaskRequest::MissingId);
         }
-        if self.ended_tasks.contains(id) {
+        if self.ended_tasks.contains(id) || self.tried_by_peers.contains(id) {
             return Err(InvalidTaskRequest::IdUsedBefore);
         }
         if attempt_line(id, message, message.wait).is_none() {
--- a/src/net/dispatch/ended_tasks.rs
+++ b/src/net/dispatch/ended_tasks.rs
@@ -81,6 +81,11 @@
         self.tasks.get(&task)?.released_by.as_ref()
     }
 
+    /// Returns the tasks that were sent to a host, oldest first.
+    pub(super) fn sent(&self) -> impl Iterator<Item = TaskId> + '_ {
+        self.sent.tasks.values().copied()
+    }
+
     /// Records that a task has ended. A release that is remembered of it is kept.
     pub(super) fn insert(&mut self, now: Micros, task: TaskId, was_sent: WasSent) {
         let released_by = self.remove(task).and_then(|ended| ended.released_by);
--- a/src/net/dispatch/peer_processes.rs
+++ b/src/net/dispatch/peer_processes.rs
@@ -6,6 +6,7 @@
 //! accepted. That process asks the others, and replies to the client once one of them has handled the release. If the
 //! responsible process exits or does not reply, the release is sent to the task's host from here.
 
+use super::ended_tasks::WasSent;
 use super::request::{HostRelease, Request, RequestState};
 use super::{Dispatch, MILLISECOND};
 use crate::net::codec::peer::{self, PeerMessage, PeerTaskState};
@@ -89,6 +90,7 @@
                 self.handle_forwarded_host_release(now, peer, task, release, detail);
             }
             PeerMessage::Adopted(task) => self.handle_adopted(now, peer, task),
+            PeerMessage::Tried(task) => self.tried_by_peers.insert(now, task, WasSent::No),
             PeerMessage::Other => {}
         }
     }
@@ -148,9 +150,17 @@
         }
     }
 
-    /// Sends a process all tasks that this process is responsible for or keeps for a process that has exited, and the
-    /// releases that may concern it.
+    /// Sends a process all tasks that this process has sent to a host, is responsible for, or keeps for a process that has
+    /// exited, and the releases that may concern it.
     fn send_all_to_peer(&mut self, peer: PeerId) {
+        let open = self
+            .requests
+            .values()
+            .filter(|request| request.attempts > 0);
+        let open = open.map(|request| request.id);
+        for task in open.chain(self.ended_tasks.sent()) {
+            self.send_to_peer(peer, &PeerMessage::Tried(task));
+        }
         let requests = self.requests.values();
         for message in requests.filter_map(task_message) {
             self.send_to_peer(peer, &message);
--- a/src/net/dispatch/timers.rs
+++ b/src/net/dispatch/timers.rs
@@ -108,6 +108,7 @@
         self.update_health(now);
         self.log_overload(now);
         self.ended_tasks.expire(now);
+        self.tried_by_peers.expire(now);
         self.add_timer(now + SWEEP_INTERVAL, TimerEvent::Sweep);
     }
 }
--- a/tests/endings/disconnected_clients.rs
+++ b/tests/endings/disconnected_clients.rs
@@ -269,3 +269,45 @@
     ids.iter().for_each(|id| connections[0].report_running(id));
     (1..=5).for_each(|_| assert_eq!(client.expect_message().kind, 9));
 }
+
+// The program reads what a client has sent before it notices the client's close. Attempts were sent meanwhile.
+#[test]
+fn client_that_closes_with_much_unread_gets_no_attempts_afterwards() {
+    // The protocol allows 0.1 s; the rest is the way to the host.
+    const LIMIT: Duration = Duration::from_millis(150);
+    for (requests, description_bytes) in [(20_000, 10), (3_000, 1_000), (250, 15_500)] {
+        let feed = Feed::new();
+        let behavior = HostBehavior {
+            start_time: Duration::ZERO,
+            run_time: Duration::from_millis(200),
+            capacity: 100_000,
+        };
+        let (hosts, records) = start_emulated_hosts(2, &behavior);
+        let entries = hosts.iter().map(|host| host.entry("up")).collect();
+        let program = Program::start(&single_placer_config(&feed, entries));
+        let mut client = checked_client(&program);
+        let description = "x".repeat(description_bytes);
+        let bytes: Vec<u8> = (1..=requests)
+            .flat_map(|id| encode_task_request(id, &request(id), &description))
+            .collect();
+
+        client.send(&bytes);
+        client.close();
+        let closed_at = Instant::now();
+        program.wait_for_log("peer=\"client\"");
+        std::thread::sleep(LIMIT);
+
+        let records = records.lock().expect("the records of the hosts");
+        let late = records
+            .starts
+            .iter()
+            .filter(|start| start.at > closed_at + LIMIT);
+        let latest = records.starts.iter().map(|start| start.at).max();
+        assert_eq!(
+            late.count(),
+            0,
+            "of {requests} requests, the last was started {:?} after the close",
+            latest.map(|at| at - closed_at)
+        );
+    }
+}
--- a/tests/endings/main.rs
+++ b/tests/endings/main.rs
@@ -11,6 +11,8 @@
 mod process;
 mod task_ends;
 
+use emulator::fixtures::start_emulated_hosts;
+use emulator::host_emulator::HostBehavior;
 use emulator::*;
 use simd_json::json;
 use simd_json::prelude::*;
--- a/tests/upgrades/main.rs
+++ b/tests/upgrades/main.rs
@@ -2,6 +2,7 @@
 
 mod process_group;
 mod releases;
+mod repeated_ids;
 mod task_ends;
 
 use emulator::admin_socket::{AdminSocket, with_admin_socket};
