Treat a host as removed once another is listed at its address

What callers saw: a host's process exited and a new host was listed at its address before the list removed the old one. The old host's task was not reported as over (nothing for 20 s in the test), and attempts and releases for it went to the new host.

Cause: connects to the address succeed, and the wire has no identity of hosts, so the old host counted as reachable with its tasks running.

Change: dispatch::address_reuse marks a host as removed when a change of the list names another one in service at its address, until the list names it with another address or start.

Why it works: two hosts cannot listen at one address, so the earlier entry is out of date; a removal is what all parts handle already.

--- a/src/net/dispatch.rs
+++ b/src/net/dispatch.rs
@@ -20,6 +20,7 @@
 //! operators control and observe. The connection modules (`clients`,
 //! `hosts`, `feed`, `peers`) do not depend on dispatch, which implements their event traits.
 
+mod address_reuse;
 mod admin_commands;
 mod adoption_memory;
 mod attempts;
--- a/src/net/dispatch/endpoint_updates.rs
+++ b/src/net/dispatch/endpoint_updates.rs
@@ -22,7 +22,8 @@
 impl Dispatch {
     /// Handles an update of the endpoint list. Tasks at a removed host, or at a host whose process started after they
     /// did, are lost.
-    pub(super) fn handle_endpoint_update(&mut self, update: EndpointUpdate) {
+    pub(super) fn handle_endpoint_update(&mut self, mut update: EndpointUpdate) {
+        self.remove_replaced_hosts(&mut update);
         let now = self.clock.now();
         self.record_health_event(now, Event::DiscoveryUpdated);
         let is_complete = update.is_complete;
@@ -136,7 +137,9 @@
         if endpoint.state != EndpointState::Up || link.started_at != endpoint.started_at {
             withdrawn.append(&mut link.pending_attempts);
         }
+        link.was_replaced &= endpoint.state == EndpointState::Removed;
         link.state = endpoint.state;
+        link.kind = endpoint.kind;
         link.cell = endpoint.cell;
         link.started_at = endpoint.started_at;
         link.zone = endpoint.zone;
--- a/src/net/hosts.rs
+++ b/src/net/hosts.rs
@@ -22,7 +22,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use task_placer::facade::Ticket;
-use task_placer::{CellId, EndpointState, HostId, Micros, Resources, ZoneId};
+use task_placer::{CellId, EndpointState, HostId, KindId, Micros, Resources, ZoneId};
 
 /// The reconnect backoff after the first failed connect. It doubles with each further failure in a row.
 const BASE_RECONNECT_BACKOFF: Micros = 50_000;
@@ -98,6 +98,10 @@
 pub struct HostLink {
     /// The address at which the host listens, if known.
     pub address: Option<SocketAddr>,
+    /// Whether another host has its address now, so that its process has exited.
+    pub was_replaced: bool,
+    /// The kind of the host.
+    pub kind: KindId,
     /// The host's state in the endpoint list.
     pub state: EndpointState,
     /// The host's cell; machines of a cell may fail together.
@@ -153,6 +157,8 @@
         let endpoint = &discovered.endpoint;
         HostLink {
             address: discovered.address,
+            was_replaced: false,
+            kind: endpoint.kind,
             state: endpoint.state,
             cell: endpoint.cell,
             zone: endpoint.zone,
@@ -190,6 +196,17 @@
         clock.convert_unix(listed_start)
     }
 
+    /// Returns the start of the host's process as the endpoint list states it.
+    pub fn listed_start(&self) -> Micros {
+        self.listed_start
+    }
+
+    /// Whether an entry of the endpoint list states the same process as the last one: the same address and start.
+    pub fn is_listed_as(&self, discovered: &DiscoveredEndpoint) -> bool {
+        let has_address = discovered.address.is_none() || discovered.address == self.address;
+        has_address && discovered.endpoint.started_at == self.listed_start
+    }
+
     /// Whether the connection with this id is being made.
     pub fn is_connecting(&self, id: ConnectionId) -> bool {
         self.connection_id == id && matches!(self.connection, ConnectionState::Connecting(_))
--- a/tests/endings/host_connections.rs
+++ b/tests/endings/host_connections.rs
@@ -129,3 +129,31 @@
     assert!(connection.read_within(Duration::from_secs(5)).is_none());
     program.wait_for_log("task ended task=0000000000000001");
 }
+
+// The process of a host has exited, and a new host has its address. The list names the new host first, and removes the
+// old one later. The old host counted as reachable meanwhile, since the new one accepts connections there.
+#[test]
+fn host_at_the_address_of_one_that_has_gone_is_not_taken_for_it() {
+    let (program, mut feed, hosts, mut connections) = start_with_hosts(1);
+    let mut client = program.client();
+    client.request_task(1, &request(1));
+    let id = connections[0].expect_offer();
+    connections[0].report_running(&id);
+    assert_eq!(client.expect_message().kind, 9);
+
+    let mut entry = hosts[0].entry("up", 0);
+    entry.insert("host", "new-host").expect("an object");
+    feed.send(&endpoint_event(2, UpdateKind::Delta, vec![entry]));
+    drop(connections);
+
+    let end = client.expect_message();
+    assert_eq!((end.kind, end.id, end.cause()), (12, 1, 41));
+    client.acknowledge_end(1);
+    // The new host gets one connection, and no other follows for the old one.
+    let mut connection = hosts[0].accept();
+    client.request_task(2, &request(2));
+    let id = connection.expect_offer();
+    connection.report_running(&id);
+    assert_eq!(client.expect_message().kind, 9);
+    assert!(hosts[0].accept_within(Duration::from_secs(2)).is_none());
+}
