Close retired connections within 1 s of their retirement

Cause: a connection that names tasks without a pause was closed up to 2 s after the first task without room.

Change: new requests are rejected after 0.5 s and the connection is closed after 1 s (1 and 2 s before). In a drain that is 1.5 and 2 s after the begin of the phase.

--- a/src/net/clients/retirement.rs
+++ b/src/net/clients/retirement.rs
@@ -10,9 +10,9 @@
 use task_placer::Micros;
 
 /// How long after its retirement the new requests of a connection are rejected.
-const REJECT_AFTER: Micros = 1_000_000;
+const REJECT_AFTER: Micros = 500_000;
 /// How long after its retirement a connection without a pending response is closed despite unread input.
-const CLOSE_AFTER: Micros = 2_000_000;
+const CLOSE_AFTER: Micros = 1_000_000;
 /// How long after the begin of a drain a request shows that the connection stays in use. The platform allows a connection
 /// with running tasks to stay open if its last request came within 2 s of the drain.
 const IN_USE_AFTER: Micros = 1_000_000;
